Free inputs of a stage once its calls have fetched them

Cause: the room for results bound the second stage: each result was held until the third stage's call had ended. Also small results waited behind a large one that did not fit, and calls sent ahead piled up at a late endpoint until it refused them.

--- a/internal/adapter/fleetrpc/convert.go
+++ b/internal/adapter/fleetrpc/convert.go
@@ -82,7 +82,8 @@
 	return &fleetpb.Task{Pool: string(t.Pool), Group: int32(group), Request: string(t.Request), Account: string(t.Account),
 		Stage: int32(t.Stage), Pieces: int32(t.Pieces), Key: t.Key, Inputs: t.Inputs, Rank: int32(t.Rank),
 		StartInUs: t.Start.Sub(now).Microseconds(), DeadlineInUs: t.Deadline.Sub(now).Microseconds(),
-		ResultBytes: int64(t.ResultBytes), Near: string(t.Near), Repeat: t.Repeat, Holds: t.Holds}
+		ResultBytes: int64(t.ResultBytes), Near: string(t.Near), Repeat: t.Repeat, Holds: t.Holds,
+		Taken: resultsToPB(t.Taken), TakenPool: string(t.TakenPool)}
 }
 
 func taskFromPB(now time.Time, t *fleetpb.Task) (group int, task *stagework.Task) {
@@ -90,7 +91,8 @@
 	return int(t.GetGroup()), &stagework.Task{Pool: core.PoolID(t.GetPool()), Request: core.RequestID(t.GetRequest()),
 		Account: core.AccountID(t.GetAccount()), Stage: int(t.GetStage()), Pieces: int(t.GetPieces()), Key: t.GetKey(),
 		Inputs: t.GetInputs(), Rank: int(t.GetRank()), Start: in(t.GetStartInUs()), Deadline: in(t.GetDeadlineInUs()),
-		ResultBytes: int(t.GetResultBytes()), Near: core.DataCenterID(t.GetNear()), Repeat: t.GetRepeat(), Holds: t.GetHolds()}
+		ResultBytes: int(t.GetResultBytes()), Near: core.DataCenterID(t.GetNear()), Repeat: t.GetRepeat(), Holds: t.GetHolds(),
+		Taken: resultsFromPB(t.GetTaken()), TakenPool: core.PoolID(t.GetTakenPool())}
 }
 
 func resultsToPB(list []stagework.Result) []*fleetpb.Result {
--- a/internal/adapter/telemetry/hosted.go
+++ b/internal/adapter/telemetry/hosted.go
@@ -175,11 +175,8 @@
 // CallEnded implements stagework.Events.
 func (h *Hosted) CallEnded(pool core.PoolID, e core.InstanceID, pieces int, took, expected time.Duration, err error) {
 	h.set.GetOrCreateHistogram(fmt.Sprintf(`eelgrass_stage_call_seconds{pool=%q}`, pool)).Update(took.Seconds())
-	if err == nil && took < 2*expected {
-		return
-	}
 	h.log.Info().Str("pool", string(pool)).Str("endpoint", string(e)).Int("pieces", pieces).Int64("took_ms", took.Milliseconds()).
-		Int64("expected_ms", expected.Milliseconds()).Err(err).Msg("stage_call_poor")
+		Int64("expected_ms", expected.Milliseconds()).Err(err).Msg("stage_call_ended")
 }
 
 // TaskEnded implements stagework.Events.
--- a/internal/app/forward/stages.go
+++ b/internal/app/forward/stages.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -66,6 +67,8 @@
 	in := &inputs{stages: f.stages, held: map[core.PoolID][]stagework.Result{}, dc: map[core.DataCenterID]int{}}
 	results := make([][]stagework.Result, len(r.Stages))
 	done := make([]chan struct{}, len(r.Stages))
+	// users counts the stages that take each stage's results; left those that
+	// have not done so yet.
 	users := make([]int, len(r.Stages))
 	for i := range done {
 		done[i] = make(chan struct{})
@@ -77,6 +80,7 @@
 			}
 		}
 	}
+	left := slices.Clone(users)
 	var mu sync.Mutex
 	g, gctx := errgroup.WithContext(ctx)
 	for i := range r.Stages {
@@ -85,7 +89,7 @@
 			continue
 		}
 		g.Go(func() error {
-			t, err := f.stageTask(gctx, x, i, results, done)
+			t, err := f.stageTask(gctx, x, i, results, done, users)
 			if err != nil {
 				return err
 			}
@@ -100,7 +104,7 @@
 			mu.Lock()
 			defer mu.Unlock()
 			for _, a := range r.Stages[i].After {
-				if users[a]--; users[a] == 0 {
+				if left[a]--; left[a] == 0 {
 					in.release(r.Stages[a].Pool, results[a])
 				}
 			}
@@ -125,7 +129,7 @@
 const largeInputs = 64 << 10
 
 // stageTask waits for what a stage takes and makes its task.
-func (f *Forwarder) stageTask(ctx context.Context, x *exchange, i int, results [][]stagework.Result, done []chan struct{}) (*stagework.Task, error) {
+func (f *Forwarder) stageTask(ctx context.Context, x *exchange, i int, results [][]stagework.Result, done []chan struct{}, users []int) (*stagework.Task, error) {
 	s := x.route.Stages[i]
 	t := &stagework.Task{Pool: s.Pool, Request: x.req.ID, Account: x.account, Stage: i, Pieces: x.req.Pieces[i], Rank: x.rank,
 		ResultBytes: s.ResultBytes, Near: x.near, Repeat: x.stageRuns > 1,
@@ -148,6 +152,9 @@
 	if len(s.After) > 0 {
 		t.Near = ""
 	}
+	if a := s.After; len(a) == 1 && users[a[0]] == 1 {
+		t.Taken, t.TakenPool = results[a[0]], x.route.Stages[a[0]].Pool
+	}
 	if !t.Holds {
 		clear(weight)
 	}
--- a/internal/app/stagework/call.go
+++ b/internal/app/stagework/call.go
@@ -25,6 +25,8 @@
 	defer cancel()
 	lead := time.AfterFunc(max(c.expected-leadTime, 0), func() { p.lead(c) })
 	defer lead.Stop()
+	fetched := time.AfterFunc(fetchTime, func() { p.fetched(c) })
+	defer fetched.Stop()
 	hedge := time.AfterFunc(time.Duration(hedgeFactor*float64(c.expected))+hedgeSlack, func() { p.hedge(c) })
 	defer hedge.Stop()
 	outcomes, err := p.c.endpoints.RunPieces(ctx, c.replica.entry.Endpoint, c.pieces)
@@ -39,6 +41,7 @@
 	c.replica.lastEnd = now
 	p.c.events.CallEnded(p.id, c.replica.entry.ID, len(c.pieces), took, c.expected, err)
 	p.leave(c)
+	c.replica.outstanding--
 	c.replica.reserved -= c.bytes
 	if err != nil || len(outcomes) != len(c.items) {
 		p.failed(c, core.AsError(err, "stage"))
@@ -60,12 +63,34 @@
 func (p *pool) lead(c *call) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if c.replica.slowness(p.c.now()) <= slowFrom && !c.replica.out(p.c.now()) {
+	if c.replica.outstanding == 1 && c.replica.slowness(p.c.now()) <= slowFrom && !c.replica.out(p.c.now()) {
 		p.leave(c)
 		p.schedule()
 	}
 }
 
+// fetched frees the inputs of tasks all of whose pieces are in calls that have
+// fetched them: an endpoint does so when the call's turn comes.
+func (p *pool) fetched(c *call) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if c.replica.outstanding != 1 {
+		// The call may still wait for the one before it.
+		return
+	}
+	for _, it := range c.items {
+		t := it.task
+		if it.fetched || t.ended || len(t.Taken) == 0 {
+			continue
+		}
+		it.fetched = true
+		if t.unfetched--; t.unfetched == 0 {
+			t.freed = true
+			p.c.release(t.TakenPool, t.Taken)
+		}
+	}
+}
+
 // hedge queues the pieces of a call that takes too long once more.
 func (p *pool) hedge(c *call) {
 	p.mu.Lock()
@@ -79,7 +104,7 @@
 	c.replica.slow = max(c.replica.slow, hedgeFactor)
 	c.replica.slowAt = now
 	for _, it := range c.items {
-		if it.finished || it.queued || it.task.ended || it.running != 1 {
+		if it.finished || it.queued || it.task.ended || it.running != 1 || it.task.freed {
 			continue
 		}
 		allowed := p.c.budget.Take(p.id, 1)
@@ -109,6 +134,10 @@
 	if it.finished || it.queued || it.task.ended || it.running > 0 {
 		return
 	}
+	if it.task.freed {
+		p.end(it.task, &core.Error{Kind: core.Conflict, Step: "stage", Peer: cause.Peer, Ran: core.RanNot, Detail: "the call failed after its inputs were freed", Err: cause})
+		return
+	}
 	allowed := it.failures < maxFailures && (notRun || p.c.budget.Take(p.id, 1))
 	p.c.events.PieceRepeated(it.task.Task, reason, allowed)
 	if allowed {
--- a/internal/app/stagework/client.go
+++ b/internal/app/stagework/client.go
@@ -41,8 +41,10 @@
 
 // NewClient returns a client.
 func NewClient(f *fleet.Fleet, self fleet.Member, local *Coordinator, remote Coordinators, ev Events, now func() time.Time) *Client {
-	return &Client{fleet: f, self: self, local: local, remote: remote, events: ev, now: now,
+	c := &Client{fleet: f, self: self, local: local, remote: remote, events: ev, now: now,
 		sizes: map[core.PoolID]int{}, groups: map[core.InstanceID]int{}, pending: map[core.PoolID][]Result{}}
+	local.release = c.Release
+	return c
 }
 
 // SetEndpoints divides the endpoints of a pool into groups and hands them to
--- a/internal/app/stagework/coordinator.go
+++ b/internal/app/stagework/coordinator.go
@@ -33,6 +33,9 @@
 	// to an endpoint that can keep one waiting. It hides the way between data
 	// centres.
 	leadTime = 12 * time.Millisecond
+	// fetchTime is how long after its sending a call to an idle endpoint has
+	// fetched its inputs: the way there and some MB over the endpoints' links.
+	fetchTime = 120 * time.Millisecond
 	// freeDelay collects results that are released.
 	freeDelay   = 10 * time.Millisecond
 	freeTimeout = time.Second
@@ -50,6 +53,8 @@
 	budget    Budget
 	now       func() time.Time
 	ctx       context.Context
+	// release frees results of other pools.
+	release func(core.PoolID, []Result)
 
 	mu    sync.Mutex
 	pools map[groupKey]*pool
@@ -62,7 +67,7 @@
 
 // NewCoordinator returns a coordinator whose calls end with ctx.
 func NewCoordinator(ctx context.Context, e Endpoints, ev Events, b Budget, now func() time.Time) *Coordinator {
-	return &Coordinator{endpoints: e, events: ev, budget: b, now: now, ctx: ctx, pools: map[groupKey]*pool{}}
+	return &Coordinator{endpoints: e, events: ev, budget: b, now: now, ctx: ctx, release: func(core.PoolID, []Result) {}, pools: map[groupKey]*pool{}}
 }
 
 // SetEndpoints replaces the endpoints of a group.
@@ -122,11 +127,15 @@
 // task is a submitted task.
 type task struct {
 	*Task
-	left    int
-	results []Result
-	err     error
-	done    chan struct{}
-	ended   bool
+	left int
+	// unfetched counts the pieces whose calls may not have fetched the inputs yet,
+	// freed says that the inputs are gone.
+	unfetched int
+	freed     bool
+	results   []Result
+	err       error
+	done      chan struct{}
+	ended     bool
 }
 
 // item is one piece that waits or runs.
@@ -138,6 +147,7 @@
 	running  int
 	queued   bool
 	finished bool
+	fetched  bool
 }
 
 type pool struct {
@@ -226,7 +236,7 @@
 		p.mu.Unlock()
 		return nil, &core.Error{Kind: core.Unavailable, Step: "stage", Ran: core.RanNot, RetryAfter: time.Second, Detail: "too many pieces wait for this stage"}
 	}
-	tk := &task{Task: t, left: t.Pieces, results: make([]Result, t.Pieces), done: make(chan struct{})}
+	tk := &task{Task: t, left: t.Pieces, unfetched: t.Pieces, results: make([]Result, t.Pieces), done: make(chan struct{})}
 	p.c.budget.Request(t.Pool, 1)
 	if t.Repeat {
 		if !p.c.budget.Take(t.Pool, t.Pieces) {
@@ -428,6 +438,7 @@
 	}
 	p.queue = slices.DeleteFunc(p.queue, func(it *item) bool { return !it.queued })
 	r.calls++
+	r.outstanding++
 	p.c.events.CallStarted(p.id, r.entry.ID, call.pieces, len(p.queue), r.slowness(now))
 	go p.run(call)
 }
--- a/internal/app/stagework/ports.go
+++ b/internal/app/stagework/ports.go
@@ -31,6 +31,10 @@
 	Near core.DataCenterID
 	// Holds says that the inputs take up much room until the task is done.
 	Holds bool
+	// Taken are the results behind Inputs if no other stage takes them, and
+	// TakenPool their pool. They may be freed once all calls have fetched them.
+	Taken     []Result
+	TakenPool core.PoolID
 	// Repeat says that the pieces may have been sent to an endpoint before.
 	Repeat bool
 }
--- a/internal/app/stagework/replica.go
+++ b/internal/app/stagework/replica.go
@@ -28,13 +28,15 @@
 
 // replica is an endpoint as its coordinator sees it.
 type replica struct {
-	entry    endpoints.Entry
-	calls    int
-	slow     float64
-	slowAt   time.Time
-	failures int
-	outUntil time.Time
-	results  map[string]held
+	entry endpoints.Entry
+	// calls counts the calls that keep others from being sent, outstanding all
+	// that have not ended.
+	calls, outstanding int
+	slow               float64
+	slowAt             time.Time
+	failures           int
+	outUntil           time.Time
+	results            map[string]held
 	// reserved is the room of results whose calls are in progress.
 	reserved int
 	// lastEnd is the end of the last call; a call that was sent ahead begins then.
--- a/internal/decide/batching/batching.go
+++ b/internal/decide/batching/batching.go
@@ -95,12 +95,16 @@
 	return p.Near != "" && p.Near != l.DataCenter && l.Local != nil && p.Start.After(now.Add(l.Patience)) && l.Local(p.Near)
 }
 
-// Choose returns the indexes of the pieces of sorted that go into a call now. A
-// piece that does not fit into the room ends the choice, so that a large result
-// is not overtaken forever by small ones; the first always fits an empty room.
+// smallPart is the part of the room that a piece may take which overtakes one
+// that does not fit.
+const smallPart = 16
+
+// Choose returns the indexes of the pieces of sorted that go into a call now.
+// Once a piece does not fit into the room, only small ones may overtake it, so
+// that it is not kept waiting by a stream of others of its size.
 func Choose(now time.Time, sorted []*Piece, l Limits) []int {
 	var out []int
-	room := l.Room
+	room, largest := l.Room, l.Room
 	for i, p := range sorted {
 		if len(out) >= l.Pieces {
 			break
@@ -111,8 +115,9 @@
 		if l.Extra > 0 && !p.Start.Before(now) && p.Start.Before(now.Add(l.Extra)) {
 			continue
 		}
-		if p.Bytes > room {
-			break
+		if p.Bytes > min(room, largest) {
+			largest = l.Room / smallPart
+			continue
 		}
 		room -= p.Bytes
 		out = append(out, i)
