--- a/internal/app/forward/stages.go
+++ b/internal/app/forward/stages.go
@@ -152,11 +152,10 @@
 	if len(s.After) > 0 {
 		t.Near = ""
 	}
-	if a := s.After; len(a) == 1 && users[a[0]] == 1 {
-		t.Taken, t.TakenPool = results[a[0]], x.route.Stages[a[0]].Pool
-	}
 	if !t.Holds {
 		clear(weight)
+	} else if a := s.After; len(a) == 1 && users[a[0]] == 1 {
+		t.Taken, t.TakenPool = results[a[0]], x.route.Stages[a[0]].Pool
 	}
 	most := 0
 	for dc, n := range weight {
--- a/internal/app/stagework/coordinator.go
+++ b/internal/app/stagework/coordinator.go
@@ -241,10 +241,10 @@
 	if t.Repeat {
 		if !p.c.budget.Take(t.Pool, t.Pieces) {
 			p.mu.Unlock()
-			p.c.events.PieceRepeated(t, "coordinator lost", false)
+			p.c.events.PieceRepeated(t, "the task may have run before", false)
 			return nil, &core.Error{Kind: core.Unavailable, Step: "stage", Ran: core.RanNot, RetryAfter: time.Second, Detail: "retry budget of the stage is spent"}
 		}
-		p.c.events.PieceRepeated(t, "coordinator lost", true)
+		p.c.events.PieceRepeated(t, "the task may have run before", true)
 	}
 	p.groups++
 	now := p.c.now()
