Refuse hopeless pieces early and keep shared prompt parts at their homes

Cause: late pieces waited until their callers had left (worth held to the end), and a home engine with two prompts to read lost its requests to engines without the shared part. Ruled out: freeing all inputs early (a failed piece then repeats all stages; now only while room is scarce).

--- a/internal/adapter/fleetrpc/fleetrpc.go
+++ b/internal/adapter/fleetrpc/fleetrpc.go
@@ -108,12 +108,21 @@
 func (c *Client) Submit(ctx context.Context, address string, group int, t *stagework.Task) ([]stagework.Result, error) {
 	p, err := c.peer(address)
 	if err == nil {
-		var r *fleetpb.TaskReply
-		if r, err = p.Submit(ctx, taskToPB(c.now(), group, t)); err == nil {
-			if f := r.GetFailure(); f != nil {
-				return nil, failureFromPB(f)
+		ctx, cancel := context.WithCancel(ctx)
+		defer cancel()
+		var replies fleetpb.Fleet_SubmitClient
+		if replies, err = p.Submit(ctx, taskToPB(c.now(), group, t)); err == nil {
+			var r *fleetpb.TaskReply
+			for r, err = replies.Recv(); err == nil; r, err = replies.Recv() {
+				if r.GetStarted() {
+					t.MarkStarted()
+					continue
+				}
+				if f := r.GetFailure(); f != nil {
+					return nil, failureFromPB(f)
+				}
+				return resultsFromPB(r.GetResults()), nil
 			}
-			return resultsFromPB(r.GetResults()), nil
 		}
 	}
 	return nil, &core.Error{Kind: core.Unavailable, Step: "stage", Peer: address, Ran: core.RanUnknown, RetryAfter: time.Second,
@@ -173,19 +182,33 @@
 }
 
 // Submit implements fleetpb.FleetServer.
-func (s *Server) Submit(ctx context.Context, m *fleetpb.Task) (*fleetpb.TaskReply, error) {
+func (s *Server) Submit(m *fleetpb.Task, replies fleetpb.Fleet_SubmitServer) error {
 	if s.stopping() {
-		return &fleetpb.TaskReply{Failure: failureToPB(&core.Error{Kind: core.Unavailable, Ran: core.RanNot, Detail: stagework.LostCoordinator})}, nil
+		return replies.Send(&fleetpb.TaskReply{Failure: failureToPB(&core.Error{Kind: core.Unavailable, Ran: core.RanNot, Detail: stagework.LostCoordinator})})
 	}
 	group, t := taskFromPB(s.now(), m)
 	if t.Pieces < 1 || t.Pieces > maxPieces {
-		return nil, status.Errorf(codes.InvalidArgument, "a task of %d pieces", t.Pieces)
+		return status.Errorf(codes.InvalidArgument, "a task of %d pieces", t.Pieces)
 	}
-	results, err := s.coordinator.Submit(ctx, group, t)
+	var sending sync.Mutex
+	t.OnStart = func() {
+		// The coordinator calls this under its lock, which must not wait for a peer.
+		sending.Lock()
+		go func() {
+			defer sending.Unlock()
+			// A peer that does not get this gets no results either and counts the
+			// task as lost.
+			_ = replies.Send(&fleetpb.TaskReply{Started: true})
+		}()
+	}
+	results, err := s.coordinator.Submit(replies.Context(), group, t)
+	reply := &fleetpb.TaskReply{Results: resultsToPB(results)}
 	if err != nil {
-		return &fleetpb.TaskReply{Failure: failureToPB(core.AsError(err, "stage"))}, nil
+		reply = &fleetpb.TaskReply{Failure: failureToPB(core.AsError(err, "stage"))}
 	}
-	return &fleetpb.TaskReply{Results: resultsToPB(results)}, nil
+	sending.Lock()
+	defer sending.Unlock()
+	return replies.Send(reply)
 }
 
 // maxPieces bounds the pieces of one stage of one request.
--- a/internal/adapter/telemetry/hosted.go
+++ b/internal/adapter/telemetry/hosted.go
@@ -91,7 +91,7 @@
 		return
 	}
 	h.log.Info().Str("request", string(r.ID)).Str("pool", string(pool)).Str("endpoint", string(c.Endpoint.ID)).Str("dc", string(c.Endpoint.DataCenter)).
-		Int("attempt", attempt).Int("running", c.Running).Int("prefill_tokens", c.PrefillTokens).Str("runner_up", string(c.RunnerUp)).
+		Int("attempt", attempt).Int("running", c.Running).Int("prefill_tokens", c.PrefillTokens).Int("home", c.Home).Int("unread_tokens", c.Unread).Str("runner_up", string(c.RunnerUp)).
 		Int("runner_up_running", c.RunnerUpRunning).Int("candidates", c.Candidates).Int64("remaining_ms", remaining.Milliseconds()).Msg("request_sent")
 }
 
--- a/internal/app/forward/attempt.go
+++ b/internal/app/forward/attempt.go
@@ -107,7 +107,7 @@
 }
 
 func choice(list []placement.Candidate) Choice {
-	c := Choice{Endpoint: list[0].Endpoint, Running: list[0].Running, PrefillTokens: list[0].PrefillTokens, Candidates: len(list)}
+	c := Choice{Endpoint: list[0].Endpoint, Running: list[0].Running, PrefillTokens: list[0].PrefillTokens, Home: list[0].Home, Unread: list[0].Unread, Candidates: len(list)}
 	if len(list) > 1 {
 		c.RunnerUp, c.RunnerUpRunning = list[1].Endpoint.ID, list[1].Running
 	}
@@ -156,6 +156,7 @@
 	if x.route.Stream && a.Genuine && a.Status == http.StatusOK {
 		s.first = func() {
 			first()
+			f.paces.observe(x.route.Name, f.now().Sub(began))
 			f.tracker.observe(x.pool, e.ID, health.Sample{OK: true, Form: health.Stream, Elapsed: normalized(f.now().Sub(began), x.req.PromptTokens)}, false)
 			if x.route.Repeat != catalog.Resumable {
 				x.inputs.releaseAll()
--- a/internal/app/forward/forward.go
+++ b/internal/app/forward/forward.go
@@ -34,6 +34,7 @@
 	now       func() time.Time
 	tracker   *tracker
 	suspects  *suspects
+	paces     *paces
 	active    atomic.Int64
 }
 
@@ -53,7 +54,7 @@
 // New returns a forwarder.
 func New(o Options) *Forwarder {
 	return &Forwarder{catalog: o.Catalog, view: o.View, fleet: o.Fleet, endpoints: o.Endpoints, stages: o.Stages, budget: o.Budget,
-		events: o.Events, now: o.Now, tracker: newTracker(o.Now, o.Events), suspects: newSuspects(o.Now)}
+		events: o.Events, now: o.Now, tracker: newTracker(o.Now, o.Events), suspects: newSuspects(o.Now), paces: newPaces()}
 }
 
 // SetEndpoints tells of a new view of the endpoints.
@@ -80,14 +81,15 @@
 	snap    *catalog.Snapshot
 	account core.AccountID
 	rank    int
-	// target is when the answer should begin, deadline when it is of no use.
-	target, deadline time.Time
-	plan             plan
-	near             core.DataCenterID
-	fingerprint      uint64
-	inputs           *inputs
-	stageRuns        int
-	out              Outcome
+	// target is when the answer should begin, begin when the caller leaves if it
+	// has not begun, deadline when the whole answer is of no use.
+	target, begin, deadline time.Time
+	plan                    plan
+	near                    core.DataCenterID
+	fingerprint             uint64
+	inputs                  *inputs
+	stageRuns               int
+	out                     Outcome
 	// ran says that an endpoint may have run the request.
 	ran bool
 	// started says that the answer's head went to the caller.
@@ -153,7 +155,10 @@
 		limit = min(limit, t)
 	}
 	x.deadline = r.Arrived.Add(limit)
-	x.target = x.deadline
+	x.target, x.begin = x.deadline, x.deadline
+	if p := x.route.Patience; p > 0 && p < limit {
+		x.begin = r.Arrived.Add(p)
+	}
 	if t := x.route.Target; t > 0 && t < limit {
 		x.target = r.Arrived.Add(t)
 	}
@@ -181,9 +186,10 @@
 	if len(x.route.Stages) == 0 {
 		return nil
 	}
-	x.plan = makePlan(x.route, x.snap, x.req.Pieces, func(i int) time.Duration { return f.stages.Wait(x.route.Stages[i].Pool, x.rank) })
-	if left := x.deadline.Sub(f.now()); x.plan.total > left {
-		return &core.Error{Kind: core.Unavailable, Step: "admission", Ran: core.RanNot, RetryAfter: retryAfter(x.plan.total - left),
+	x.plan = makePlan(x.route, x.snap, x.req.Pieces, f.paces.expect(x.route.Name), func(i int) time.Duration { return f.stages.Wait(x.route.Stages[i].Pool, x.rank) })
+	if left := x.begin.Sub(f.now()); x.plan.total > left {
+		// The caller may come back when the queue of now is worked off.
+		return &core.Error{Kind: core.Unavailable, Step: "admission", Ran: core.RanNot, RetryAfter: retryAfter(x.plan.waits),
 			Detail: "the stages' queues are too long for the time left"}
 	}
 	if c := f.candidates(x, nil); len(c) > 0 {
@@ -196,10 +202,10 @@
 	x.stageRuns++
 	// What is left after the stages must suffice for the request itself; a caller
 	// that cannot be served is told so while it still listens.
-	ctx, cancel := context.WithDeadline(ctx, x.deadline.Add(-firstEventTime))
+	ctx, cancel := context.WithDeadline(ctx, x.begin.Add(-x.plan.last))
 	defer cancel()
 	in, err := f.runStages(ctx, x)
-	if err != nil && x.stageRuns == 1 && core.AsError(err, "stage").Kind == core.Conflict && f.now().Add(x.plan.total).Before(x.deadline) {
+	if err != nil && x.stageRuns == 1 && core.AsError(err, "stage").Kind == core.Conflict && f.now().Add(x.plan.total).Before(x.begin) {
 		// The endpoint that kept a result is gone: make the results again.
 		x.stageRuns++
 		in, err = f.runStages(ctx, x)
--- a/internal/app/forward/plan.go
+++ b/internal/app/forward/plan.go
@@ -8,8 +8,8 @@
 
 const (
 	// firstEventTime is assumed from the arrival of a request at an engine to its
-	// first event; what it is on an idle engine with a cached prompt.
-	firstEventTime = 150 * time.Millisecond
+	// first event before any was measured.
+	firstEventTime = 200 * time.Millisecond
 	// transferTime is assumed for handing pieces on and back.
 	transferTime = 15 * time.Millisecond
 	// minRemaining is the time below which no work is started.
@@ -21,30 +21,28 @@
 	// own is the expected time of each stage's call, tail the time from the start
 	// of the call to the first event of the answer when nothing waits.
 	own, tail []time.Duration
+	// last is the time from the last stage to the first event.
+	last time.Duration
 	// total is the longest way through all stages to the first event, waits included.
 	total time.Duration
+	// waits is the longest wait of a stage.
+	waits time.Duration
 }
 
-// makePlan works out the times of a route's stages. wait tells the present wait
-// of a stage.
-func makePlan(r *catalog.Route, s *catalog.Snapshot, pieces []int, wait func(stage int) time.Duration) plan {
+// makePlan works out the times of a route's stages. last is the time from the
+// last stage to the first event, wait tells the present wait of a stage.
+func makePlan(r *catalog.Route, s *catalog.Snapshot, pieces []int, last time.Duration, wait func(stage int) time.Duration) plan {
 	n := len(r.Stages)
-	p := plan{own: make([]time.Duration, n), tail: make([]time.Duration, n)}
-	if r.Stream {
-		p.total = firstEventTime
-	}
+	p := plan{own: make([]time.Duration, n), tail: make([]time.Duration, n), last: last, total: last}
 	reach := make([]time.Duration, n)
 	for i := n - 1; i >= 0; i-- {
 		p.own[i] = callTime(s, r.Stages[i], count(pieces, i))
-		after := time.Duration(0)
-		if r.Stream {
-			after = firstEventTime
-		}
+		after := last
 		for j := i + 1; j < n; j++ {
 			for _, a := range r.Stages[j].After {
 				if a == i {
 					// A call that is in progress delays the next stage by half its time on average.
-					after = max(after, p.tail[j]+p.own[j]/2+transferTime)
+					after = max(after, p.tail[j]+max(p.own[j]/2, wait(j))+transferTime)
 				}
 			}
 		}
@@ -58,12 +56,10 @@
 		for _, a := range st.After {
 			begin = max(begin, reach[a])
 		}
-		w := time.Duration(0)
-		if wait != nil {
-			w = wait(i)
-		}
+		w := wait(i)
+		p.waits = max(p.waits, w)
 		reach[i] = begin + w + p.own[i] + transferTime
-		p.total = max(p.total, reach[i]+firstEventTime)
+		p.total = max(p.total, reach[i]+last)
 	}
 	return p
 }
--- a/internal/app/forward/ports.go
+++ b/internal/app/forward/ports.go
@@ -102,6 +102,9 @@
 	// RunnerUp is the next best endpoint and what it had in progress.
 	RunnerUp        core.InstanceID
 	RunnerUpRunning int
+	// Home is 1 if the endpoint keeps the prompt's shared part, 2 if it is the
+	// next one, and so on; Unread is the number of prompt tokens it has to read.
+	Home, Unread int
 	// Candidates is the number of endpoints in rotation.
 	Candidates int
 }
--- a/internal/app/forward/stages.go
+++ b/internal/app/forward/stages.go
@@ -133,7 +133,7 @@
 	s := x.route.Stages[i]
 	t := &stagework.Task{Pool: s.Pool, Request: x.req.ID, Account: x.account, Stage: i, Pieces: x.req.Pieces[i], Rank: x.rank,
 		ResultBytes: s.ResultBytes, Near: x.near, Repeat: x.stageRuns > 1,
-		Start: x.target.Add(-x.plan.tail[i]), Deadline: x.deadline.Add(-x.plan.tail[i])}
+		Start: x.target.Add(-x.plan.tail[i]), Deadline: x.begin.Add(-x.plan.tail[i])}
 	weight := map[core.DataCenterID]int{}
 	total := 0
 	for _, a := range s.After {
--- a/internal/app/stagework/call.go
+++ b/internal/app/stagework/call.go
@@ -72,6 +72,14 @@
 // fetched frees the inputs of tasks all of whose pieces are in calls that have
 // fetched them: an endpoint does so when the call's turn comes.
 func (p *pool) fetched(c *call) {
+	known := map[core.PoolID]bool{}
+	for _, it := range c.items {
+		if id := it.task.TakenPool; id != "" {
+			if _, ok := known[id]; !ok {
+				known[id] = p.c.wait(id, lastRank) > scarceWait
+			}
+		}
+	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if c.replica.outstanding != 1 {
@@ -80,7 +88,7 @@
 	}
 	for _, it := range c.items {
 		t := it.task
-		if it.fetched || t.ended || len(t.Taken) == 0 {
+		if it.fetched || t.ended || len(t.Taken) == 0 || !known[t.TakenPool] {
 			continue
 		}
 		it.fetched = true
@@ -181,6 +189,7 @@
 	case o.Reason == Expired:
 		p.end(it.task, &core.Error{Kind: core.DeadlineExceeded, Step: "stage", Peer: peer, Ran: core.RanNot, Detail: "the time was over when the stage's turn came"})
 	case o.Reason == NoRoom:
+		c.replica.fullUntil = now.Add(fullPause)
 		it.failures++
 		p.again(it, true, "no room for the result", &core.Error{Kind: core.Unavailable, Peer: peer, Detail: "no room for results"})
 	default:
@@ -224,7 +233,11 @@
 		return
 	}
 	x.freeing = true
-	time.AfterFunc(freeDelay, func() {
+	delay := idleFreeDelay
+	if x.room(p.c.now(), p.limits.ResultRoom) < 2*p.limits.ResultRoom/3 {
+		delay = freeDelay
+	}
+	time.AfterFunc(delay, func() {
 		p.mu.Lock()
 		handles := x.freed
 		x.freed, x.freeing = nil, false
--- a/internal/app/stagework/client.go
+++ b/internal/app/stagework/client.go
@@ -43,7 +43,7 @@
 func NewClient(f *fleet.Fleet, self fleet.Member, local *Coordinator, remote Coordinators, ev Events, now func() time.Time) *Client {
 	c := &Client{fleet: f, self: self, local: local, remote: remote, events: ev, now: now,
 		sizes: map[core.PoolID]int{}, groups: map[core.InstanceID]int{}, pending: map[core.PoolID][]Result{}}
-	local.release = c.Release
+	local.release, local.wait = c.Release, c.Wait
 	return c
 }
 
@@ -136,8 +136,7 @@
 			return results, err
 		}
 		c.events.PieceRepeated(t, "coordinator "+string(m.ID)+" lost", true)
-		// A daemon that refused the task has sent none of its pieces.
-		t.Repeat = t.Repeat || core.AsError(err, "stage").Ran != core.RanNot
+		t.Repeat = t.Repeat || t.Started()
 	}
 	if err == nil {
 		err = &core.Error{Kind: core.Unavailable, Step: "stage", Ran: core.RanNot, RetryAfter: time.Second, Detail: "no daemon coordinates this stage"}
--- a/internal/app/stagework/coordinator.go
+++ b/internal/app/stagework/coordinator.go
@@ -13,6 +13,9 @@
 	"eelgrassgrade/internal/decide/catalog"
 )
 
+// lastRank is the least urgent rank whose waits are told.
+const lastRank = 9
+
 const (
 	// maxWaiting bounds the pieces that wait in one pool.
 	maxWaiting = 4096
@@ -21,6 +24,8 @@
 	// roomShare is the part of an endpoint's room for results that is used: sizes
 	// are known approximately.
 	roomShare = 0.92
+	// fullShare divides the room of an endpoint that had none of late.
+	fullShare = 8
 	// rateWindow is the time over which the rate of finished pieces is measured.
 	rateWindow = 1500 * time.Millisecond
 	// hedgeFactor times the expected time plus hedgeSlack is when the pieces of a
@@ -36,9 +41,24 @@
 	// fetchTime is how long after its sending a call to an idle endpoint has
 	// fetched its inputs: the way there and some MB over the endpoints' links.
 	fetchTime = 120 * time.Millisecond
-	// freeDelay collects results that are released.
-	freeDelay   = 10 * time.Millisecond
-	freeTimeout = time.Second
+	// A queue of pruneCalls full calls for each endpoint is checked each
+	// pruneInterval for pieces that cannot be in time.
+	pruneCalls    = 1
+	pruneInterval = 150 * time.Millisecond
+	// hopeless is the part of the estimated wait beyond which a piece is given up:
+	// rates vary within the time that they are averaged over.
+	hopeless = 0.6
+	// fullPause is how long an endpoint without room for a result gets no large one.
+	fullPause = 150 * time.Millisecond
+	// scarceWait is the wait in a pool from which on its results are freed as soon
+	// as they are fetched. Freed inputs cannot be used again if a call fails, so
+	// they are kept while room is not scarce.
+	scarceWait = 100 * time.Millisecond
+	// freeDelay collects results that are released, idleFreeDelay does so while the
+	// endpoint has room for a full call.
+	freeDelay     = 10 * time.Millisecond
+	idleFreeDelay = 120 * time.Millisecond
+	freeTimeout   = time.Second
 	// shareWindow is the time over which the use of accounts is compared.
 	shareWindow = 3 * time.Second
 	// overShare is the factor over the equal share above which an account's
@@ -53,8 +73,9 @@
 	budget    Budget
 	now       func() time.Time
 	ctx       context.Context
-	// release frees results of other pools.
+	// release frees results of other pools, wait tells how long their pieces wait.
 	release func(core.PoolID, []Result)
+	wait    func(core.PoolID, int) time.Duration
 
 	mu    sync.Mutex
 	pools map[groupKey]*pool
@@ -67,7 +88,7 @@
 
 // NewCoordinator returns a coordinator whose calls end with ctx.
 func NewCoordinator(ctx context.Context, e Endpoints, ev Events, b Budget, now func() time.Time) *Coordinator {
-	return &Coordinator{endpoints: e, events: ev, budget: b, now: now, ctx: ctx, release: func(core.PoolID, []Result) {}, pools: map[groupKey]*pool{}}
+	return &Coordinator{endpoints: e, events: ev, budget: b, now: now, ctx: ctx, release: func(core.PoolID, []Result) {}, wait: func(core.PoolID, int) time.Duration { return 0 }, pools: map[groupKey]*pool{}}
 }
 
 // SetEndpoints replaces the endpoints of a group.
@@ -160,6 +181,8 @@
 	replicas map[core.InstanceID]*replica
 	groups   uint64
 	finishes []time.Time
+	pruned   time.Time
+	arrivals arrivals
 	used     map[core.AccountID]float64
 	usedAt   time.Time
 	timer    *time.Timer
@@ -191,43 +214,50 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	now := p.c.now()
-	usable := 0
-	for _, r := range p.replicas {
-		if !r.out(now) {
-			usable++
-		}
-	}
+	usable := p.usable(now)
 	if len(p.replicas) == 0 && len(p.queue) == 0 {
 		return nil
 	}
-	const ranks = 10
-	var ahead [ranks]int
+	var ahead [lastRank + 1]int
 	for _, it := range p.queue {
 		if it.Start.After(now) {
-			ahead[min(it.Rank, ranks-1)]++
+			ahead[min(it.Rank, lastRank)]++
 		}
 	}
-	call := p.expected(p.limits.MaxPieces)
-	out := make([]time.Duration, ranks)
-	sum := 0
-	for r := range ranks {
+	out := make([]time.Duration, lastRank+1)
+	rate := p.rate(now, usable)
+	sum, overtaking := 0, 0.0
+	for r := range out {
 		sum += ahead[r]
-		out[r] = batching.Wait(sum, p.limits.MaxPieces, usable, call)
-		if sum > p.limits.MaxPieces*usable {
-			// A long queue shows the true rate, which room for results or slow
-			// endpoints may keep below what the calls' times allow.
-			out[r] = max(out[r], time.Duration(float64(sum)/p.rate(now)*float64(time.Second)))
-		}
+		out[r] = batching.Wait(sum, rate, overtaking)
+		overtaking += p.arrivals.rate(now, r)
 	}
 	return out
 }
 
-// rate returns the pieces finished a second of late, 1 at least.
-func (p *pool) rate(now time.Time) float64 {
+// rate returns the pieces that finish in a second: what the calls' times allow
+// or, while the queue is long, what was measured, since room for results or slow
+// endpoints may allow less.
+func (p *pool) rate(now time.Time, usable int) float64 {
+	full := float64(p.limits.MaxPieces*max(usable, 1)) / p.expected(p.limits.MaxPieces).Seconds()
 	for len(p.finishes) > 0 && now.Sub(p.finishes[0]) > rateWindow {
 		p.finishes = p.finishes[1:]
 	}
-	return max(float64(len(p.finishes))/rateWindow.Seconds(), 1)
+	if len(p.queue) <= p.limits.MaxPieces*usable {
+		return full
+	}
+	return min(full, max(float64(len(p.finishes))/rateWindow.Seconds(), 1))
+}
+
+// usable returns the number of endpoints in rotation.
+func (p *pool) usable(now time.Time) int {
+	n := 0
+	for _, r := range p.replicas {
+		if !r.out(now) {
+			n++
+		}
+	}
+	return n
 }
 
 func (p *pool) submit(ctx context.Context, t *Task) ([]Result, error) {
@@ -248,6 +278,7 @@
 	}
 	p.groups++
 	now := p.c.now()
+	p.arrivals.add(now, t.Rank, t.Pieces)
 	for i := range t.Pieces {
 		p.queue = append(p.queue, &item{task: tk, index: i, queued: true, Piece: batching.Piece{Rank: t.Rank, Start: t.Start,
 			Deadline: t.Deadline, Queued: now, Bytes: t.ResultBytes, Group: p.groups, Account: string(t.Account), Near: string(t.Near), Holds: t.Holds}})
@@ -317,6 +348,27 @@
 			p.end(it.task, &core.Error{Kind: core.DeadlineExceeded, Step: "stage", Ran: core.RanNot, Detail: "the time was over before the stage had an endpoint"})
 		}
 	}
+	if now.Sub(p.pruned) < pruneInterval || len(p.queue) < pruneCalls*p.limits.MaxPieces*max(len(p.replicas), 1) {
+		return
+	}
+	// A queue of this length moves at the measured rate. Callers whose turn would
+	// come too late are told now.
+	p.pruned = now
+	rate := p.rate(now, p.usable(now))
+	for i, it := range p.sorted(now, "") {
+		// More urgent work that comes in overtakes the piece; once it is late, all
+		// work that can still be in time does.
+		overtaking := 0.0
+		for r := range p.arrivals.count {
+			if r < it.Rank || it.Start.Before(now) && !it.Holds {
+				overtaking += p.arrivals.rate(now, r)
+			}
+		}
+		if wait := batching.Wait(i, rate, overtaking); !it.task.ended && now.Add(time.Duration(hopeless*float64(wait))).After(it.Deadline) {
+			p.end(it.task, &core.Error{Kind: core.Unavailable, Step: "stage", Ran: core.RanNot, RetryAfter: wait,
+				Detail: "the queue of the stage is too long for the time left"})
+		}
+	}
 }
 
 // free returns the endpoints that can take a call. If all endpoints without a
@@ -409,7 +461,11 @@
 
 // start sends a call with the first pieces of sorted to r.
 func (p *pool) start(now time.Time, r *replica, sorted []*item) {
-	l := batching.Limits{Pieces: p.limits.MaxPieces, Room: r.room(now, int(roomShare*float64(p.limits.ResultRoom))),
+	room := r.room(now, int(roomShare*float64(p.limits.ResultRoom)))
+	if now.Before(r.fullUntil) {
+		room = min(room, p.limits.ResultRoom/fullShare)
+	}
+	l := batching.Limits{Pieces: p.limits.MaxPieces, Room: room,
 		DataCenter: string(r.entry.DataCenter), Patience: p.expected(p.limits.MaxPieces), Local: func(dc string) bool { return p.local(now, dc) }}
 	if s := r.slowness(now); s > slowFrom && p.hasFaster(now) {
 		l.Extra = time.Duration((s - 1) * float64(p.limits.CallTime+2*p.limits.PieceTime))
@@ -433,6 +489,7 @@
 		call.bytes += it.Bytes
 		p.used[it.task.Account]++
 		p.settle(it, r.entry.DataCenter)
+		it.task.MarkStarted()
 		call.pieces = append(call.pieces, Piece{Request: it.task.Request, Stage: it.task.Stage, Index: it.index,
 			Remaining: it.Deadline.Sub(now), Key: it.task.Key, Inputs: it.task.Inputs})
 	}
--- a/internal/app/stagework/ports.go
+++ b/internal/app/stagework/ports.go
@@ -6,6 +6,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"time"
 
 	"eelgrassgrade/internal/core"
@@ -37,8 +38,23 @@
 	TakenPool core.PoolID
 	// Repeat says that the pieces may have been sent to an endpoint before.
 	Repeat bool
+	// OnStart is called once, before the first piece goes to an endpoint. It must
+	// not block.
+	OnStart func()
+
+	started atomic.Bool
+}
+
+// MarkStarted notes that a piece goes to an endpoint.
+func (t *Task) MarkStarted() {
+	if !t.started.Swap(true) && t.OnStart != nil {
+		t.OnStart()
+	}
 }
 
+// Started says whether a piece may have gone to an endpoint.
+func (t *Task) Started() bool { return t.started.Load() }
+
 // Result is the result of one piece, kept by the endpoint that made it.
 type Result struct {
 	Handle     string
--- a/internal/app/stagework/replica.go
+++ b/internal/app/stagework/replica.go
@@ -41,6 +41,8 @@
 	reserved int
 	// lastEnd is the end of the last call; a call that was sent ahead begins then.
 	lastEnd time.Time
+	// fullUntil is set when the endpoint had no room where some was expected.
+	fullUntil time.Time
 	// freed collects handles to release with the next call of FreeResults.
 	freed   []string
 	freeing bool
--- a/internal/decide/batching/batching.go
+++ b/internal/decide/batching/batching.go
@@ -125,12 +125,16 @@
 	return out
 }
 
-// Wait estimates how long a new piece waits for its call to start: the pieces
-// ahead of it fill calls of the given size on the given number of endpoints.
-func Wait(ahead, perCall, endpoints int, call time.Duration) time.Duration {
-	if endpoints <= 0 || perCall <= 0 {
+// minShare is the part of the rate that is assumed to remain for a piece however
+// much work overtakes it.
+const minShare = 0.05
+
+// Wait estimates how long a piece waits behind the pieces ahead of it, of which
+// rate finish a second while overtaking more come in that go before it.
+func Wait(ahead int, rate, overtaking float64) time.Duration {
+	if rate <= 0 {
 		return time.Hour
 	}
-	rounds := float64(ahead) / float64(perCall*endpoints)
-	return time.Duration(rounds * float64(call))
+	left := max(rate-overtaking, minShare*rate)
+	return time.Duration(float64(ahead) / left * float64(time.Second))
 }
--- a/internal/decide/catalog/catalog.go
+++ b/internal/decide/catalog/catalog.go
@@ -57,6 +57,9 @@
 	Timeout time.Duration
 	// Target is the time within which an answer has its full value.
 	Target time.Duration
+	// Patience is how long a caller waits for the first event of a stream before it
+	// leaves; 0 if only its own limit counts.
+	Patience time.Duration
 	// GapTarget is the longest pause between events that is still on time.
 	GapTarget time.Duration
 	// Priority is the rank of requests, 0 first, unless the account has its own.
--- a/internal/decide/placement/placement.go
+++ b/internal/decide/placement/placement.go
@@ -34,12 +34,20 @@
 	Slow float64
 	// Unread is set by Order: the prompt tokens that the endpoint would have to read.
 	Unread int
+	// Home is set by Order: 1 for the endpoint where the shared prompt part is
+	// kept, 2 for the one that takes over from it, and so on.
+	Home int
 }
 
 const (
 	// prefillPerMs is the assumed number of prompt tokens that an engine reads in
 	// a millisecond, used only to weigh cached parts against load.
 	prefillPerMs = 40
+	// againFactor weighs shared tokens that are read again although another engine
+	// has them, up to maxAgainCost: the reading takes time from all requests that
+	// run beside it.
+	againFactor  = 4
+	maxAgainCost = 120 * time.Millisecond
 	// runningCost is the assumed delay that each running request adds to the
 	// first event of another one.
 	runningCost = time.Millisecond
@@ -95,16 +103,23 @@
 	})
 	for i := range list {
 		c := &list[i]
+		c.c.Home = i + 1
 		unread := total
+		again := 0
+		if ok {
+			again = shared
+		}
 		if ok && i < homes {
 			// The second home counts as half cached: it has the part only if the
 			// first was loaded before.
 			unread -= shared / (i + 1)
+			again -= shared / (i + 1)
 		}
 		c.c.Unread = unread
 		ms := float64(unread+c.c.PrefillTokens) / prefillPerMs
 		c.cost = time.Duration(ms*max(c.c.Slow, 1)*float64(time.Millisecond)) +
-			time.Duration(c.c.Running)*runningCost + c.c.Cost
+			time.Duration(c.c.Running)*runningCost + c.c.Cost +
+			min(time.Duration(again)*againFactor*time.Millisecond/prefillPerMs, maxAgainCost)
 		if c.c.Slots > 0 && c.c.Running >= c.c.Slots {
 			c.cost += fullCost
 		}
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -39,7 +39,7 @@
 	daemonTable = "eelgrass-daemons"
 	// configWait is how long a read of the configuration waits for a change. It
 	// bounds how long a silent connection hides one.
-	configWait = time.Second
+	configWait = 2 * time.Second
 	// listPace spaces reads of the list of endpoints, which changes all the time.
 	// A leaving endpoint may get work for two seconds.
 	listPace   = time.Second
