--- a/internal/app/forward/ports.go
+++ b/internal/app/forward/ports.go
@@ -122,6 +122,9 @@
 	// StageTime is the time until all stages were done, FirstByte until the first
 	// byte of the answer went to the caller, Total until the end; all since arrival.
 	StageTime, FirstByte, Total time.Duration
+	// LongestGap is the longest pause between two events as they came from the
+	// endpoint.
+	LongestGap time.Duration
 	// Cut says that the answer was broken off.
 	Cut bool
 	Err *core.Error
--- a/internal/app/forward/stream.go
+++ b/internal/app/forward/stream.go
@@ -48,15 +48,20 @@
 	chunks := read(ctx, a.Body)
 	var rest []byte
 	seen := false
+	var at time.Time
 	for {
 		c, ok := s.next(ctx, chunks, whole)
 		if !ok {
 			return s.broken("no event for too long", nil)
 		}
+		now := s.f.now()
 		if len(c.data) > 0 && !seen {
 			seen = true
 			s.first()
+		} else if seen {
+			s.x.out.LongestGap = max(s.x.out.LongestGap, now.Sub(at))
 		}
+		at = now
 		data := c.data
 		if whole {
 			rest = append(rest, c.data...)
--- a/internal/app/stagework/call.go
+++ b/internal/app/stagework/call.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"time"
 
 	"eelgrassgrade/internal/core"
@@ -23,21 +24,17 @@
 func (p *pool) run(c *call) {
 	ctx, cancel := context.WithTimeout(p.c.ctx, callTimeoutFactor*c.expected)
 	defer cancel()
-	lead := time.AfterFunc(max(c.expected-leadTime, 0), func() { p.lead(c) })
+	lead := p.after(c, max(c.expected-leadTime, 0), p.lead)
 	defer lead.Stop()
-	fetched := time.AfterFunc(fetchTime, func() { p.fetched(c) })
+	fetched := p.after(c, fetchTime, p.fetched)
 	defer fetched.Stop()
-	hedge := time.AfterFunc(time.Duration(hedgeFactor*float64(c.expected))+hedgeSlack, func() { p.hedge(c) })
+	hedge := p.after(c, time.Duration(hedgeFactor*float64(c.expected))+hedgeSlack, p.hedge)
 	defer hedge.Stop()
 	outcomes, err := p.c.endpoints.RunPieces(ctx, c.replica.entry.Endpoint, c.pieces)
 	now := p.c.now()
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	began := c.began
-	if c.replica.lastEnd.After(began) {
-		began = c.replica.lastEnd
-	}
-	took := now.Sub(began)
+	took := now.Sub(c.turn())
 	c.replica.lastEnd = now
 	p.c.events.CallEnded(p.id, c.replica.entry.ID, len(c.pieces), took, c.expected, err)
 	p.leave(c)
@@ -51,6 +48,61 @@
 	p.schedule()
 }
 
+// turn returns when the call's turn came: a call that was sent ahead waits for
+// the end of the one before it.
+func (c *call) turn() time.Time {
+	if c.replica.lastEnd.After(c.began) {
+		return c.replica.lastEnd
+	}
+	return c.began
+}
+
+// timer is a timer that may be set again by its own function.
+type timer struct {
+	mu      sync.Mutex
+	timer   *time.Timer
+	stopped bool
+}
+
+func (t *timer) set(d time.Duration, f func()) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if !t.stopped {
+		t.timer = time.AfterFunc(d, f)
+	}
+}
+
+// Stop keeps the timer from firing again.
+func (t *timer) Stop() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.stopped = true
+	t.timer.Stop()
+}
+
+// after calls f once the call's turn is d ago. While the call waits for the one
+// before it, the time has not begun.
+func (p *pool) after(c *call, d time.Duration, f func(*call)) *timer {
+	t := &timer{}
+	var check func()
+	check = func() {
+		p.mu.Lock()
+		waits := c.replica.outstanding > 1 && c.replica.lastEnd.Before(c.began)
+		left := d - p.c.now().Sub(c.turn())
+		p.mu.Unlock()
+		switch {
+		case waits:
+			t.set(turnPoll, check)
+		case left > time.Millisecond:
+			t.set(left, check)
+		default:
+			f(c)
+		}
+	}
+	t.set(d, check)
+	return t
+}
+
 // leave frees the endpoint's place. The caller holds mu.
 func (p *pool) leave(c *call) {
 	if !c.released {
@@ -82,10 +134,6 @@
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if c.replica.outstanding != 1 {
-		// The call may still wait for the one before it.
-		return
-	}
 	for _, it := range c.items {
 		t := it.task
 		if it.fetched || t.ended || len(t.Taken) == 0 || !known[t.TakenPool] {
@@ -104,11 +152,6 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	now := p.c.now()
-	if d := now.Sub(c.replica.lastEnd); c.replica.lastEnd.After(c.began) && d < time.Duration(hedgeFactor*float64(c.expected))+hedgeSlack {
-		// The call waited for the one before it.
-		time.AfterFunc(time.Duration(hedgeFactor*float64(c.expected))+hedgeSlack-d, func() { p.hedge(c) })
-		return
-	}
 	c.replica.slow = max(c.replica.slow, hedgeFactor)
 	c.replica.slowAt = now
 	for _, it := range c.items {
@@ -158,7 +201,7 @@
 
 func (p *pool) finished(c *call, outcomes []Outcome, took time.Duration) {
 	now := p.c.now()
-	if c.replica.succeed(now, took, c.expected) {
+	if c.replica.succeed(now, took, p.expected(len(c.items))) {
 		p.c.events.EndpointHealth(p.id, c.replica.entry.ID, false, "")
 	}
 	for i, it := range c.items {
--- a/internal/app/stagework/coordinator.go
+++ b/internal/app/stagework/coordinator.go
@@ -54,6 +54,8 @@
 	// as they are fetched. Freed inputs cannot be used again if a call fails, so
 	// they are kept while room is not scarce.
 	scarceWait = 100 * time.Millisecond
+	// turnPoll is how often a call that was sent ahead is checked for its turn.
+	turnPoll = 10 * time.Millisecond
 	// freeDelay collects results that are released, idleFreeDelay does so while the
 	// endpoint has room for a full call.
 	freeDelay     = 10 * time.Millisecond
@@ -481,7 +483,7 @@
 	if len(items) == 0 {
 		return
 	}
-	call := &call{items: items, replica: r, began: now, expected: p.expected(len(items))}
+	call := &call{items: items, replica: r, began: now, expected: time.Duration(r.usual(now) * float64(p.expected(len(items))))}
 	for _, it := range items {
 		it.queued = false
 		it.running++
--- a/internal/app/stagework/replica.go
+++ b/internal/app/stagework/replica.go
@@ -16,6 +16,8 @@
 	// few calls while it was slow is tried again.
 	slowDecay = 2 * time.Second
 	maxSlow   = 8
+	// minUsual and maxUsual bound the factor that is expected of an endpoint.
+	minUsual, maxUsual = 0.7, 1.2
 	// baseEjection and maxEjection bound how long a failing endpoint gets no calls.
 	baseEjection = 400 * time.Millisecond
 	maxEjection  = 4 * time.Second
@@ -65,6 +67,12 @@
 	return 1 + excess
 }
 
+// usual returns the factor by which the endpoint's calls differ from the stated
+// times, as far as that is within what ordinary endpoints show.
+func (r *replica) usual(now time.Time) float64 {
+	return min(max(r.slowness(now), minUsual), maxUsual)
+}
+
 func (r *replica) succeed(now time.Time, took, expected time.Duration) (back bool) {
 	back = r.failures > 0
 	r.failures, r.outUntil = 0, time.Time{}
