Do not refuse pieces by a rate measured before the queue was long

Cause: a burst after a quiet time, or the first tasks of a new coordinator, were refused because few pieces had finished in the last 1.5 s; and pieces in a call that was sent ahead behind a slow one were not offered elsewhere.

--- a/internal/app/stagework/call.go
+++ b/internal/app/stagework/call.go
@@ -28,7 +28,9 @@
 	defer lead.Stop()
 	fetched := p.after(c, fetchTime, p.fetched)
 	defer fetched.Stop()
-	hedge := p.after(c, time.Duration(hedgeFactor*float64(c.expected))+hedgeSlack, p.hedge)
+	// The time counts from the sending: a call that was sent ahead and waits behind
+	// one that takes too long is as late as that one.
+	hedge := time.AfterFunc(time.Duration(hedgeFactor*float64(c.expected))+hedgeSlack, func() { p.hedge(c) })
 	defer hedge.Stop()
 	outcomes, err := p.c.endpoints.RunPieces(ctx, c.replica.entry.Endpoint, c.pieces)
 	now := p.c.now()
--- a/internal/app/stagework/coordinator.go
+++ b/internal/app/stagework/coordinator.go
@@ -31,7 +31,7 @@
 	// hedgeFactor times the expected time plus hedgeSlack is when the pieces of a
 	// call are offered to other endpoints as well.
 	hedgeFactor = 1.7
-	hedgeSlack  = 80 * time.Millisecond
+	hedgeSlack  = 100 * time.Millisecond
 	// callTimeoutFactor bounds a call: a slow endpoint may still be of use.
 	callTimeoutFactor = 5
 	// leadTime is how long before the expected end of a call the next one is sent
@@ -183,11 +183,13 @@
 	replicas map[core.InstanceID]*replica
 	groups   uint64
 	finishes []time.Time
-	pruned   time.Time
-	arrivals arrivals
-	used     map[core.AccountID]float64
-	usedAt   time.Time
-	timer    *time.Timer
+	// longSince is when the queue became longer than a call for each endpoint.
+	longSince time.Time
+	pruned    time.Time
+	arrivals  arrivals
+	used      map[core.AccountID]float64
+	usedAt    time.Time
+	timer     *time.Timer
 }
 
 func (p *pool) setEndpoints(l *catalog.Batching, list []endpoints.Entry) {
@@ -245,7 +247,15 @@
 	for len(p.finishes) > 0 && now.Sub(p.finishes[0]) > rateWindow {
 		p.finishes = p.finishes[1:]
 	}
-	if len(p.queue) <= p.limits.MaxPieces*usable {
+	switch {
+	case len(p.queue) <= p.limits.MaxPieces*usable:
+		p.longSince = time.Time{}
+		return full
+	case p.longSince.IsZero():
+		p.longSince = now
+	}
+	if now.Sub(p.longSince) < rateWindow {
+		// What finished before the queue was long says nothing of the rate.
 		return full
 	}
 	return min(full, max(float64(len(p.finishes))/rateWindow.Seconds(), 1))
@@ -469,8 +479,10 @@
 	}
 	l := batching.Limits{Pieces: p.limits.MaxPieces, Room: room,
 		DataCenter: string(r.entry.DataCenter), Patience: p.expected(p.limits.MaxPieces), Local: func(dc string) bool { return p.local(now, dc) }}
-	if s := r.slowness(now); s > slowFrom && p.hasFaster(now) {
-		l.Extra = time.Duration((s - 1) * float64(p.limits.CallTime+2*p.limits.PieceTime))
+	if r.slowness(now) > slowFrom && p.hasFaster(now) {
+		// The last measured slowness counts: it decays only to have the endpoint
+		// tried again at some time.
+		l.Extra = time.Duration((r.slow - 1) * float64(p.limits.CallTime+2*p.limits.PieceTime))
 	}
 	pieces := make([]*batching.Piece, len(sorted))
 	for i, it := range sorted {
--- /dev/null
+++ b/internal/decide/catalog/catalog_test.go
@@ -0,0 +1,100 @@
+package catalog
+
+import (
+	"testing"
+
+	"eelgrassgrade/internal/core"
+)
+
+func mustNew(t *testing.T, routes []*Route, keys map[string]*Account) *Snapshot {
+	t.Helper()
+	s, err := New(1, routes, nil, keys)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return s
+}
+
+// Guards against a request that goes to the route of a shorter prefix or of
+// another host.
+func TestLongestPrefixOfTheHostWins(t *testing.T) {
+	s := mustNew(t, []*Route{
+		{Name: "short", Host: "a.example", Prefix: "/x/"},
+		{Name: "long", Host: "A.example", Prefix: "/x/y/"},
+		{Name: "other", Host: "b.example", Prefix: "/x/y/z/"},
+	}, nil)
+	for _, c := range []struct{ host, path, want string }{
+		{"a.example", "/x/1", "short"},
+		{"a.example", "/x/y/z/1", "long"},
+		{"A.EXAMPLE:8080", "/x/y/", "long"},
+		{"b.example", "/x/y/z/", "other"},
+		{"b.example", "/x/y/", ""},
+		{"c.example", "/x/", ""},
+		{"a.example", "/x", ""},
+	} {
+		got := ""
+		if r := s.Match(c.host, c.path); r != nil {
+			got = r.Name
+		}
+		if got != c.want {
+			t.Errorf("%s%s goes to %q, want %q", c.host, c.path, got, c.want)
+		}
+	}
+}
+
+// Guards against keys that pass when accounts are configured, and against
+// refusals when none are.
+func TestKeys(t *testing.T) {
+	a := &Account{ID: "one"}
+	s := mustNew(t, nil, map[string]*Account{"k": a})
+	if got, ok := s.Account("k"); !ok || got != a {
+		t.Errorf("known key: %v, %v", got, ok)
+	}
+	if _, ok := s.Account("other"); ok {
+		t.Error("an unknown key passes")
+	}
+	if _, ok := s.Account(""); ok {
+		t.Error("a missing key passes")
+	}
+	if _, ok := mustNew(t, nil, map[string]*Account{}).Account("k"); ok {
+		t.Error("a key passes although the last account was removed")
+	}
+	if _, ok := mustNew(t, nil, nil).Account(""); !ok {
+		t.Error("keys are asked for although none are configured")
+	}
+}
+
+// Guards against stages that would wait for each other forever.
+func TestStagesThatDoNotPrecedeAreRejected(t *testing.T) {
+	for _, after := range [][]int{{0}, {1}, {-1}, {7}} {
+		r := &Route{Name: "r", Stages: []Stage{{Pool: "a", After: after}}}
+		if _, err := New(1, []*Route{r}, nil, nil); err == nil {
+			t.Errorf("stage 0 after %v is accepted", after)
+		}
+	}
+}
+
+// Guards against results that the request itself does not get, or gets although
+// another stage takes them.
+func TestSinks(t *testing.T) {
+	r := &Route{Stages: []Stage{{}, {}, {After: []int{1}}, {After: []int{2}}}}
+	got := r.Sinks()
+	if len(got) != 2 || got[0] != 0 || got[1] != 3 {
+		t.Errorf("sinks %v, want [0 3]", got)
+	}
+}
+
+// Guards against a split that sends requests to a pool of weight 0 or leaves one out.
+func TestPickFollowsTheWeights(t *testing.T) {
+	r := &Route{Split: []Weighted{{"a", 90}, {"none", 0}, {"b", 10}}}
+	count := map[core.PoolID]int{}
+	for i := range 1000 {
+		count[r.Pick(float64(i)/1000)]++
+	}
+	if count["a"] != 900 || count["b"] != 100 || count["none"] != 0 {
+		t.Errorf("picked %v", count)
+	}
+	if got := (&Route{}).Pick(0.5); got != "" {
+		t.Errorf("a route without pools picks %q", got)
+	}
+}
