--- /dev/null
+++ b/internal/app/fleet/fleet_test.go
@@ -0,0 +1,159 @@
+package fleet
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"eelgrassgrade/internal/core"
+)
+
+// network connects fleets; cut holds the addresses that nothing reaches.
+type network struct {
+	mu     sync.Mutex
+	fleets map[string]*Fleet
+	cut    map[string]bool
+	drops  int
+}
+
+func (n *network) Exchange(ctx context.Context, address string, s *Status) (*Status, error) {
+	time.Sleep(5 * time.Millisecond)
+	n.mu.Lock()
+	f, cut := n.fleets[address], n.cut[address] || n.cut[s.Member.Address]
+	n.mu.Unlock()
+	if cut || f == nil {
+		<-ctx.Done()
+		return nil, ctx.Err()
+	}
+	r := f.Receive(s)
+	if r == nil {
+		return nil, errors.New("no status")
+	}
+	return r, nil
+}
+
+func (n *network) Drop(string) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.drops++
+}
+
+func (n *network) set(address string, cut bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.cut[address] = cut
+}
+
+type noEvents struct{}
+
+func (noEvents) PeerAlive(Member)               {}
+func (noEvents) PeerLost(Member, time.Duration) {}
+
+func member(i int) Member {
+	return Member{ID: core.InstanceID(fmt.Sprint("d", i)), Address: fmt.Sprint("a", i)}
+}
+
+// start runs n fleets of which each knows only the first.
+func start(t *testing.T, n int, f func(*network, []*Fleet)) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		net := &network{fleets: map[string]*Fleet{}, cut: map[string]bool{}}
+		var list []*Fleet
+		for i := range n {
+			x := New(Options{Self: member(i), Transport: net, Events: noEvents{}, OnStatus: func(*Status) {}, Now: time.Now,
+				Source: func() *Status { return &Status{Tables: map[string]int64{"t": int64(i)}} }})
+			x.Add([]Member{{Address: "a0"}}, false)
+			net.fleets[member(i).Address] = x
+			list = append(list, x)
+			go x.Run(ctx)
+		}
+		time.Sleep(1500 * time.Millisecond)
+		f(net, list)
+		cancel()
+		time.Sleep(time.Second)
+		synctest.Wait()
+	})
+}
+
+func alive(f *Fleet) string {
+	out := ""
+	for _, m := range f.View().Alive {
+		out += string(m.ID) + " "
+	}
+	return out
+}
+
+// Guards against daemons that find only those in their settings, and that
+// disagree on who is alive and so on who coordinates what.
+func TestAllDaemonsFindEachOther(t *testing.T) {
+	start(t, 6, func(_ *network, list []*Fleet) {
+		for i, f := range list {
+			if got := alive(f); got != "d0 d1 d2 d3 d4 d5 " {
+				t.Errorf("daemon %d sees %s", i, got)
+			}
+			if a, b := list[0].View().Ranked("k")[0], f.View().Ranked("k")[0]; a != b {
+				t.Errorf("daemon %d ranks %s first, daemon 0 %s", i, b.ID, a.ID)
+			}
+		}
+		if got := list[0].View().Newest["t"]; got.Version != 5 || got.Address != "a5" {
+			t.Errorf("the newest copy is %v", got)
+		}
+	})
+}
+
+// Guards against a daemon that is cut off and still counts as alive, or that is
+// not found again; work waits on it until then.
+func TestALostDaemonIsNoticedAndFoundAgain(t *testing.T) {
+	start(t, 3, func(net *network, list []*Fleet) {
+		died := list[0].Died("a2")
+		net.set("a2", true)
+		time.Sleep(1600 * time.Millisecond)
+		if got := alive(list[0]); got != "d0 d1 " {
+			t.Errorf("1.6 s after the cut d0 sees %s", got)
+		}
+		select {
+		case <-died:
+		default:
+			t.Error("who waits for d2 is not told")
+		}
+		if net.drops == 0 {
+			t.Error("the silent connection is kept")
+		}
+		net.set("a2", false)
+		time.Sleep(time.Second)
+		if got := alive(list[0]); got != "d0 d1 d2 " {
+			t.Errorf("a second after the cut d0 sees %s", got)
+		}
+	})
+}
+
+// Guards against work that is handed to a daemon which stops.
+func TestALeavingDaemonIsNotAlive(t *testing.T) {
+	start(t, 3, func(_ *network, list []*Fleet) {
+		list[1].Leave()
+		time.Sleep(700 * time.Millisecond)
+		for i, f := range list {
+			if got := alive(f); got != "d0 d2 " {
+				t.Errorf("daemon %d sees %s", i, got)
+			}
+		}
+	})
+}
+
+// Guards against work that waits for a daemon which was restarted and knows
+// nothing of it.
+func TestARestartIsNoticed(t *testing.T) {
+	start(t, 2, func(_ *network, list []*Fleet) {
+		died := list[0].Died("a1")
+		list[0].Receive(&Status{Member: member(1), Incarnation: time.Now().UnixNano()})
+		select {
+		case <-died:
+		default:
+			t.Error("who waits for the earlier incarnation is not told")
+		}
+	})
+}
--- a/internal/app/forward/forward.go
+++ b/internal/app/forward/forward.go
@@ -117,7 +117,8 @@
 	if err := f.prepare(ctx, x); err != nil {
 		return f.final(ctx, x, err), false
 	}
-	defer x.inputs.releaseAll()
+	// The inputs may be made again meanwhile.
+	defer func() { x.inputs.releaseAll() }()
 	return f.attempts(ctx, x, w)
 }
 
--- a/internal/app/mirror/mirror.go
+++ b/internal/app/mirror/mirror.go
@@ -132,6 +132,9 @@
 		} else if b.Full {
 			r = was
 		}
+		if newer, ok := next.Rows[r.Key]; ok && newer.Version > r.Version {
+			continue
+		}
 		if r.Deleted {
 			delete(next.Rows, r.Key)
 			t.bury(r)
@@ -177,7 +180,8 @@
 	}
 	if !b.Full {
 		for _, r := range t.tombstones {
-			if r.Version > after {
+			// A row that came back after its deletion is in the batch already.
+			if _, back := s.Rows[r.Key]; r.Version > after && !back {
 				b.Rows = append(b.Rows, r)
 			}
 		}
--- /dev/null
+++ b/internal/app/mirror/mirror_test.go
@@ -0,0 +1,218 @@
+package mirror
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/juju/errors"
+	"pgregory.net/rapid"
+)
+
+func row(key string, version int64) Row {
+	return Row{Key: key, Value: []byte(fmt.Sprint(key, version)), Version: version}
+}
+
+func keys(s *Snapshot) string {
+	out := ""
+	for _, k := range []string{"a", "b", "c"} {
+		if r, ok := s.Rows[k]; ok {
+			out += fmt.Sprint(k, r.Version, " ")
+		}
+	}
+	return out
+}
+
+// Guards against a copy that goes back to an older version: a read from a stale
+// replica of the store, or a peer that lags.
+func TestACopyNeverGoesBack(t *testing.T) {
+	table := NewTable("t", nil)
+	table.Apply(Batch{Rows: []Row{row("a", 5), row("b", 6)}, Version: 6, Full: true})
+	for _, b := range []Batch{
+		{Rows: []Row{row("a", 3)}, Version: 3, Full: true},
+		{Rows: []Row{{Key: "a", Version: 5, Deleted: true}}, Version: 5},
+		{Rows: []Row{row("a", 4), row("b", 6)}, Version: 6, Full: true},
+	} {
+		table.Apply(b)
+		if got := keys(table.Snapshot()); got != "a5 b6 " {
+			t.Errorf("after version %d: %s", b.Version, got)
+		}
+	}
+	// A newer batch with an old value of a row keeps the newer value.
+	table.Apply(Batch{Rows: []Row{row("a", 2), row("b", 6)}, Version: 9, Full: true})
+	if got := keys(table.Snapshot()); got != "a5 b6 " {
+		t.Errorf("a full read with an older row: %s", got)
+	}
+}
+
+// Guards against rows that a full read no longer has and that stay in the copy,
+// or that peers never hear are gone.
+func TestAFullReadRemovesRows(t *testing.T) {
+	table := NewTable("t", nil)
+	table.Apply(Batch{Rows: []Row{row("a", 1), row("b", 2)}, Version: 2, Full: true})
+	table.Apply(Batch{Rows: []Row{row("b", 2)}, Version: 7, Full: true})
+	if got := keys(table.Snapshot()); got != "b2 " {
+		t.Errorf("copy %s", got)
+	}
+	peer := NewTable("t", nil)
+	peer.Apply(Batch{Rows: []Row{row("a", 1), row("b", 2)}, Version: 2, Full: true})
+	peer.Apply(table.Since(2))
+	if got := keys(peer.Snapshot()); got != "b2 " {
+		t.Errorf("peer %s", got)
+	}
+}
+
+// Guards against a copy of a copy that differs from it, whatever changes came
+// between two pulls.
+func TestAPeerCatchesUp(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		table, peer := NewTable("t", nil), NewTable("t", nil)
+		version := int64(0)
+		for range rapid.IntRange(1, 200).Draw(t, "steps") {
+			version++
+			key := rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "key")
+			r := row(key, version)
+			r.Deleted = rapid.IntRange(0, 3).Draw(t, "delete") == 0
+			table.Apply(Batch{Rows: []Row{r}, Version: version})
+			if rapid.IntRange(0, 5).Draw(t, "pull") == 0 {
+				peer.Apply(table.Since(peer.Snapshot().Version))
+				if a, b := keys(table.Snapshot()), keys(peer.Snapshot()); a != b {
+					t.Fatalf("copy %q, copy of the copy %q", a, b)
+				}
+			}
+		}
+	})
+}
+
+// store is a fake store whose behaviour a test sets.
+type store struct {
+	mu      sync.Mutex
+	down    bool
+	lost    bool
+	version int64
+	rows    []Row
+	reads   int
+}
+
+func (s *store) Read(context.Context, string) (Batch, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.reads++
+	if s.down {
+		return Batch{}, errors.New("down")
+	}
+	s.lost = false
+	return Batch{Rows: s.rows, Version: s.version}, nil
+}
+
+func (s *store) Changes(ctx context.Context, _ string, after int64, wait time.Duration) (Batch, error) {
+	s.mu.Lock()
+	down, lost, version, rows := s.down, s.lost, s.version, s.rows
+	s.mu.Unlock()
+	switch {
+	case down:
+		return Batch{}, errors.New("down")
+	case lost:
+		return Batch{}, ErrHistoryLost
+	case version <= after:
+		sleep(ctx, wait)
+		return Batch{Version: version}, nil
+	}
+	return Batch{Rows: rows, Version: version}, nil
+}
+
+func (s *store) put(r Row) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.version, s.rows = r.Version, append(s.rows, r)
+}
+
+type peers struct{ table *Table }
+
+func (p *peers) Newest(string) int64 {
+	if p.table == nil {
+		return 0
+	}
+	return p.table.Snapshot().Version
+}
+
+func (p *peers) Pull(_ context.Context, _ string, after int64) (Batch, error) {
+	return p.table.Since(after), nil
+}
+
+type events struct{ lost, regained int }
+
+func (e *events) StoreLost(string, error)             { e.lost++ }
+func (e *events) StoreRegained(string, time.Duration) { e.regained++ }
+
+func follow(t *testing.T, f func(*store, *peers, *Table, *events)) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		s, p, table, e := &store{}, &peers{}, NewTable("t", nil), &events{}
+		s.put(row("a", 1))
+		go (&Follower{Table: table, Store: s, Peers: p, Events: e, Wait: time.Second}).Run(ctx)
+		time.Sleep(100 * time.Millisecond)
+		f(s, p, table, e)
+		cancel()
+		synctest.Wait()
+	})
+}
+
+// Guards against changes that arrive late after the store returned, and against
+// an outage that is not told.
+func TestAFollowerRecoversFromAnOutage(t *testing.T) {
+	follow(t, func(s *store, _ *peers, table *Table, e *events) {
+		s.mu.Lock()
+		s.down = true
+		s.mu.Unlock()
+		time.Sleep(8 * time.Second)
+		if table.StoreOK() || keys(table.Snapshot()) != "a1 " {
+			t.Errorf("during the outage: ok %t, copy %s", table.StoreOK(), keys(table.Snapshot()))
+		}
+		s.mu.Lock()
+		s.down = false
+		s.mu.Unlock()
+		s.put(row("b", 2))
+		time.Sleep(time.Second)
+		if got := keys(table.Snapshot()); got != "a1 b2 " {
+			t.Errorf("a second after its return: %s", got)
+		}
+		if e.lost != 1 || e.regained != 1 || table.Recovered().IsZero() {
+			t.Errorf("told %d losses and %d returns", e.lost, e.regained)
+		}
+	})
+}
+
+// Guards against a daemon that the store refuses while it serves others, and
+// that keeps an old configuration meanwhile.
+func TestAFollowerReadsPeersWhileItsStoreFails(t *testing.T) {
+	follow(t, func(s *store, p *peers, table *Table, _ *events) {
+		s.mu.Lock()
+		s.down = true
+		s.mu.Unlock()
+		time.Sleep(3 * time.Second)
+		p.table = NewTable("t", nil)
+		p.table.Apply(Batch{Rows: []Row{row("a", 1), row("b", 9)}, Version: 9, Full: true})
+		time.Sleep(500 * time.Millisecond)
+		if got := keys(table.Snapshot()); got != "a1 b9 " {
+			t.Errorf("half a second after a peer had it: %s", got)
+		}
+	})
+}
+
+// Guards against a copy that misses what changed while history was dropped.
+func TestAFollowerReadsAllAfterLostHistory(t *testing.T) {
+	follow(t, func(s *store, _ *peers, table *Table, _ *events) {
+		s.mu.Lock()
+		s.lost = true
+		s.version, s.rows = 8, []Row{row("b", 7), row("c", 8)}
+		s.mu.Unlock()
+		time.Sleep(2 * time.Second)
+		if got := keys(table.Snapshot()); got != "b7 c8 " {
+			t.Errorf("copy %s", got)
+		}
+	})
+}
