--- a/internal/app/fleet/fleet.go
+++ b/internal/app/fleet/fleet.go
@@ -97,6 +97,8 @@
 }
 
 type peer struct {
+	// address is the key under which the peer is known; it does not change.
+	address  string
 	member   Member
 	status   *Status
 	heard    time.Time
@@ -187,7 +189,7 @@
 		if len(f.peers) >= maxKnown {
 			return nil
 		}
-		p = &peer{member: m, added: f.now(), died: make(chan struct{})}
+		p = &peer{address: m.Address, member: m, added: f.now(), died: make(chan struct{})}
 		f.peers[m.Address] = p
 	}
 	if p.member.ID == "" {
@@ -233,7 +235,7 @@
 		}
 		list = append(list, p)
 	}
-	slices.SortFunc(list, func(a, b *peer) int { return cmp.Compare(a.member.Address, b.member.Address) })
+	slices.SortFunc(list, func(a, b *peer) int { return cmp.Compare(a.address, b.address) })
 	if len(list) > maxPeers {
 		at := f.turn % len(list)
 		f.turn += maxPeers
@@ -251,7 +253,7 @@
 
 func (f *Fleet) exchange(ctx context.Context, p *peer, s *Status) {
 	call, cancel := context.WithTimeout(ctx, exchangeTimeout)
-	reply, err := f.transport.Exchange(call, p.member.Address, s)
+	reply, err := f.transport.Exchange(call, p.address, s)
 	cancel()
 	f.mu.Lock()
 	p.busy = false
@@ -264,7 +266,7 @@
 	}
 	f.mu.Unlock()
 	if drop {
-		f.transport.Drop(p.member.Address)
+		f.transport.Drop(p.address)
 	}
 	if err == nil {
 		f.heard(reply)
--- a/internal/app/fleet/fleet_test.go
+++ b/internal/app/fleet/fleet_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -17,7 +18,7 @@
 	mu     sync.Mutex
 	fleets map[string]*Fleet
 	cut    map[string]bool
-	drops  int
+	drops  atomic.Int32
 }
 
 func (n *network) Exchange(ctx context.Context, address string, s *Status) (*Status, error) {
@@ -37,9 +38,7 @@
 }
 
 func (n *network) Drop(string) {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	n.drops++
+	n.drops.Add(1)
 }
 
 func (n *network) set(address string, cut bool) {
@@ -67,7 +66,9 @@
 			x := New(Options{Self: member(i), Transport: net, Events: noEvents{}, OnStatus: func(*Status) {}, Now: time.Now,
 				Source: func() *Status { return &Status{Tables: map[string]int64{"t": int64(i)}} }})
 			x.Add([]Member{{Address: "a0"}}, false)
+			net.mu.Lock()
 			net.fleets[member(i).Address] = x
+			net.mu.Unlock()
 			list = append(list, x)
 			go x.Run(ctx)
 		}
@@ -120,7 +121,7 @@
 		default:
 			t.Error("who waits for d2 is not told")
 		}
-		if net.drops == 0 {
+		if net.drops.Load() == 0 {
 			t.Error("the silent connection is kept")
 		}
 		net.set("a2", false)
--- a/internal/app/mirror/mirror_test.go
+++ b/internal/app/mirror/mirror_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -130,23 +131,23 @@
 	s.version, s.rows = r.Version, append(s.rows, r)
 }
 
-type peers struct{ table *Table }
+type peers struct{ table atomic.Pointer[Table] }
 
 func (p *peers) Newest(string) int64 {
-	if p.table == nil {
-		return 0
+	if t := p.table.Load(); t != nil {
+		return t.Snapshot().Version
 	}
-	return p.table.Snapshot().Version
+	return 0
 }
 
 func (p *peers) Pull(_ context.Context, _ string, after int64) (Batch, error) {
-	return p.table.Since(after), nil
+	return p.table.Load().Since(after), nil
 }
 
-type events struct{ lost, regained int }
+type events struct{ lost, regained atomic.Int32 }
 
-func (e *events) StoreLost(string, error)             { e.lost++ }
-func (e *events) StoreRegained(string, time.Duration) { e.regained++ }
+func (e *events) StoreLost(string, error)             { e.lost.Add(1) }
+func (e *events) StoreRegained(string, time.Duration) { e.regained.Add(1) }
 
 func follow(t *testing.T, f func(*store, *peers, *Table, *events)) {
 	synctest.Test(t, func(t *testing.T) {
@@ -180,8 +181,8 @@
 		if got := keys(table.Snapshot()); got != "a1 b2 " {
 			t.Errorf("a second after its return: %s", got)
 		}
-		if e.lost != 1 || e.regained != 1 || table.Recovered().IsZero() {
-			t.Errorf("told %d losses and %d returns", e.lost, e.regained)
+		if e.lost.Load() != 1 || e.regained.Load() != 1 || table.Recovered().IsZero() {
+			t.Errorf("told %d losses and %d returns", e.lost.Load(), e.regained.Load())
 		}
 	})
 }
@@ -194,8 +195,9 @@
 		s.down = true
 		s.mu.Unlock()
 		time.Sleep(3 * time.Second)
-		p.table = NewTable("t", nil)
-		p.table.Apply(Batch{Rows: []Row{row("a", 1), row("b", 9)}, Version: 9, Full: true})
+		newer := NewTable("t", nil)
+		newer.Apply(Batch{Rows: []Row{row("a", 1), row("b", 9)}, Version: 9, Full: true})
+		p.table.Store(newer)
 		time.Sleep(500 * time.Millisecond)
 		if got := keys(table.Snapshot()); got != "a1 b9 " {
 			t.Errorf("half a second after a peer had it: %s", got)
--- a/internal/app/stagework/coordinator_test.go
+++ b/internal/app/stagework/coordinator_test.go
@@ -37,6 +37,8 @@
 			})
 		}
 		wg.Wait()
+		w.mu.Lock()
+		defer w.mu.Unlock()
 		for key, n := range w.runs {
 			if n != 1 {
 				t.Errorf("piece %s ran %d times", key, n)
@@ -197,6 +199,8 @@
 			})
 		}
 		wg.Wait()
+		w.mu.Lock()
+		defer w.mu.Unlock()
 		for key, n := range w.runs {
 			if n > 1 {
 				t.Errorf("piece %s ran %d times", key, n)
@@ -219,6 +223,8 @@
 			t.Errorf("the abandoned task ends with %v", err)
 		}
 		time.Sleep(2 * time.Second)
+		w.mu.Lock()
+		defer w.mu.Unlock()
 		if n := len(w.machines["m0"].kept); n != 0 {
 			t.Errorf("%d results are kept", n)
 		}
@@ -268,6 +274,8 @@
 				t.Error(err)
 			}
 		}
+		w.mu.Lock()
+		defer w.mu.Unlock()
 		if n := len(w.machines["m0"].calls); n != 0 {
 			t.Errorf("the endpoint that left got %d calls", n)
 		}
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -216,6 +216,10 @@
 		ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}
 	ready := &http.Server{Handler: platform.Ready(d.ready), ReadHeaderTimeout: headerTimeout}
 	rpc := fleetrpc.NewServer(d.fleet, []*mirror.Table{d.config, d.list, d.daemons}, d.coord, time.Now, d.stopping.Load)
+	defer func() {
+		rpc.Stop()
+		ready.Close()
+	}()
 	failed := make(chan error, 4)
 	serve := func(address string, f func(net.Listener) error) error {
 		l, err := net.Listen("tcp", address)
@@ -303,7 +307,7 @@
 		case err := <-failed:
 			return err
 		case <-ctx.Done():
-			return nil
+			return callers.Close()
 		case s := <-signals:
 			if s == syscall.SIGHUP {
 				d.reload()
