Keep suspects of different daemons on different endpoints

Ruled out: hedges, and endpoints chosen by load alone (suspects were only kept apart within one daemon). Change: each suspect has an endpoint of its own by rendezvous hashing that all daemons agree on, and a crash is told to the others 40 ms before its suspects run again. That uncovered calls that failed as probes of the dead endpoints with no token left for a retry: a call is a probe only while it may be retried.

--- a/internal/app/dispatch/crash.go
+++ b/internal/app/dispatch/crash.go
@@ -18,6 +18,9 @@
 	// cutGrace is how long the connections of one crash take to be seen cut,
 	// and a crashed process to stop accepting connections.
 	cutGrace = 25 * time.Millisecond
+	// settleTime is how long the suspects of a crash take to be known to all
+	// daemons: a few rounds of messages.
+	settleTime = 40 * time.Millisecond
 	// maxContentEndpoints bounds the endpoints that run equal content at the
 	// same time, so that content which crashes endpoints takes down two at most.
 	maxContentEndpoints = 2
@@ -176,6 +179,8 @@
 		p.d.Quarantine.Crash(p.id, found)
 		p.doubt(found)
 		p.tellPeers(found)
+		// The other daemons learn the suspects before any of them runs again.
+		time.Sleep(settleTime)
 	}
 	close(inc.done)
 }
--- a/internal/app/dispatch/pool.go
+++ b/internal/app/dispatch/pool.go
@@ -12,6 +12,7 @@
 	"eelgrassgrade/internal/core"
 	"eelgrassgrade/internal/decide/health"
 	"eelgrassgrade/internal/decide/membership"
+	"eelgrassgrade/internal/decide/quarantine"
 	"eelgrassgrade/internal/decide/retry"
 	"eelgrassgrade/internal/decide/routing"
 )
@@ -24,6 +25,15 @@
 	endpoints []*endpoint
 }
 
+// ids returns all endpoints of the pool, also those that this daemon does not use.
+func (m *members) ids() []core.InstanceID {
+	out := make([]core.InstanceID, len(m.all))
+	for i, e := range m.all {
+		out[i] = e.ID
+	}
+	return out
+}
+
 // pool is the state of one endpoint pool.
 type pool struct {
 	d       *Dispatcher
@@ -138,6 +148,22 @@
 // a suspect runs on it. on lists where equal content is in flight. The caller
 // holds p.suspects.mu.
 func (p *pool) choose(j *job, m *members, suspect bool, on []*endpoint) (e *endpoint, reason routing.Reason, blocked bool) {
+	if suspect {
+		// Suspects of different daemons are kept on different endpoints as long as
+		// one of these is in use.
+		for _, id := range quarantine.Place(p.d.Quarantine.Suspects(p.id), m.ids(), j.fingerprint) {
+			e, reason, blocked = p.chooseAmong(j, m, true, on, id)
+			if st := statusOf(e); e != nil && st.Until.IsZero() && !st.Failing {
+				return e, reason, blocked
+			}
+		}
+	}
+	return p.chooseAmong(j, m, suspect, on, "")
+}
+
+// chooseAmong is choose with the only endpoint that the job may use, if it is
+// not empty.
+func (p *pool) chooseAmong(j *job, m *members, suspect bool, on []*endpoint, only core.InstanceID) (e *endpoint, reason routing.Reason, blocked bool) {
 	buf := p.scratch.Get().(*[]routing.Candidate)
 	defer p.scratch.Put(buf)
 	now := time.Now()
@@ -159,6 +185,9 @@
 		if suspect && !x.Excluded && e.suspect.Load() {
 			x.Excluded, blocked = true, true
 		}
+		if only != "" && !x.Excluded && e.ID != only {
+			x.Excluded, blocked = true, true
+		}
 		x.SameContent = slices.Contains(on, e)
 		if !x.SameContent && spread >= maxContentEndpoints && !x.Excluded {
 			x.Excluded, blocked = true, true
@@ -193,7 +222,7 @@
 func (p *pool) request(j *job, suspect bool) routing.Request {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	r := routing.Request{Key: j.task.PrefixKey, Prefix: true, AllowProbe: j.task.Repeatable && !suspect && j.attempts.Load() <= 1,
+	r := routing.Request{Key: j.task.PrefixKey, Prefix: true, AllowProbe: j.task.Repeatable && !suspect && j.attempts.Load() <= 1 && p.budget.MayRetry(),
 		Latency: p.health.Quantiles(j.form).P50, Random: p.rng.Uint64()}
 	if r.Key == 0 {
 		r.Key, r.Prefix = binary.BigEndian.Uint64(j.fingerprint[:]), false
--- a/internal/decide/retry/retry.go
+++ b/internal/decide/retry/retry.go
@@ -104,6 +104,10 @@
 	Reason Reason
 }
 
+// MayRetry says whether there is a token for a retry. A call serves as a probe
+// of an ejected endpoint only then, since it fails with the probe otherwise.
+func (b *Budget) MayRetry() bool { return b.tokens >= 1 }
+
 // Retry decides on another attempt and spends a token if it allows one.
 func (b *Budget) Retry(f Failed) Decision {
 	wait := Backoff(f.Attempt, f.Random)
