Show the other operator's edit on a conflict, and refuse requests without input

Cause: a daemon that refuses a change may not have heard of the newer version yet, so 'eelgrassctl apply' printed no difference; a misspelt field left the input empty and the pipeline answered 200. Each with a test (TestConflictWaitsForTheOtherVersion, the row 'misspelt input').

--- a/internal/adapter/httpapi/callers.go
+++ b/internal/adapter/httpapi/callers.go
@@ -72,9 +72,10 @@
 }
 
 type pipelineBody struct {
-	Input     string `json:"input"`
-	MaxTokens int    `json:"max_tokens"`
-	Stream    bool   `json:"stream"`
+	// Input is required; an empty one is allowed.
+	Input     *string `json:"input"`
+	MaxTokens int     `json:"max_tokens"`
+	Stream    bool    `json:"stream"`
 }
 
 type pipelineAnswer struct {
@@ -95,7 +96,10 @@
 	if err := decode(body, &b); err != nil {
 		return nil, nil, Problem(ctx, err)
 	}
-	req := gateway.PipelineRequest{Pipeline: p.Pipeline, Input: b.Input, MaxTokens: b.MaxTokens}
+	if b.Input == nil {
+		return nil, nil, Problem(ctx, invalid("the body has no input"))
+	}
+	req := gateway.PipelineRequest{Pipeline: p.Pipeline, Input: *b.Input, MaxTokens: b.MaxTokens}
 	if b.Stream || (p.Accept != nil && strings.Contains(*p.Accept, "text/event-stream")) {
 		return s.stream(ctx, c, req, pipelineEvents{})
 	}
--- a/internal/adapter/httpapi/httpapi_test.go
+++ b/internal/adapter/httpapi/httpapi_test.go
@@ -95,6 +95,7 @@
 	}{
 		{"broken JSON", run, `{"input":`, nil, 400},
 		{"wrong type", run, `{"input":5}`, nil, 400},
+		{"misspelt input", run, `{"inptu":"x"}`, nil, 400},
 		{"large body", run, `{"input":"` + strings.Repeat("a", maxBody) + `"}`, nil, 413},
 		{"unknown rank", run, `{}`, []string{"X-Rank", "royal"}, 400},
 		{"deadline that is no number", run, `{}`, []string{"X-Deadline-Ms", "soon"}, 400},
--- a/internal/ctl/ctl_test.go
+++ b/internal/ctl/ctl_test.go
@@ -27,6 +27,8 @@
 	lose bool
 	// leaving lists, per status call, what the two daemons know.
 	leaving [][]string
+	// behind is the number of reads that do not see the newest version yet.
+	behind int
 }
 
 func (f *fakeDaemon) Apply(_ context.Context, p *operators.ApplyPayload, body io.ReadCloser) (*operators.ApplyResult, error) {
@@ -50,6 +52,10 @@
 	v := value(p.Version)
 	if v == 0 {
 		v = uint64(len(f.versions))
+		if f.behind > 0 {
+			f.behind--
+			v--
+		}
 	}
 	return &operators.ShowResult{Version: v, ContentType: "application/json"}, io.NopCloser(strings.NewReader(string(f.versions[v-1]))), nil
 }
@@ -130,6 +136,21 @@
 	}
 }
 
+// Guards against a refusal that shows no difference because the daemon had not
+// heard of the other operator's version.
+func TestConflictWaitsForTheOtherVersion(t *testing.T) {
+	f := &fakeDaemon{versions: [][]byte{[]byte(`{"plans": {"p": {"weight": 1}}}`), []byte(`{"plans": {"p": {"weight": 2}}}`)}, behind: 2}
+	flags := f.start(t)
+	code, out := runTool(append([]string{"apply", writeLists(t, "// version: 1\n", "3")}, flags...)...)
+	if code != exitConflict || !strings.Contains(out, "~ plans.p.weight: 1 -> 2\n") || strings.Contains(out, "no difference") {
+		t.Errorf("exit %d: %s", code, out)
+	}
+	f.behind = 100
+	if code, out := runTool(append([]string{"apply", writeLists(t, "// version: 1\n", "3")}, flags...)...); code != exitConflict || !strings.Contains(out, "not heard of a version after 1") {
+		t.Errorf("exit %d: %s", code, out)
+	}
+}
+
 // Guards against a lost answer that is reported as a refusal, so that the
 // operator applies the change again, or as accepted without proof.
 func TestApplyReadsHistoryWhenOutcomeIsUnknown(t *testing.T) {
--- a/internal/ctl/lists.go
+++ b/internal/ctl/lists.go
@@ -246,11 +246,15 @@
 // conflict shows what the other operator changed since the base version.
 func (t *tool) conflict(ctx context.Context, c *client, a application, cause string) error {
 	refused := &exitError{exitConflict, cause}
-	current, version, err := c.source(ctx, 0)
+	current, version, err := c.newer(ctx, a.base)
 	if err != nil {
 		refused.msg += "; the version in effect could not be read: " + describe(err)
 		return refused
 	}
+	if version <= a.base {
+		refused.msg += fmt.Sprintf("; the daemon has not heard of a version after %d yet", a.base)
+		return refused
+	}
 	old := []byte("{}")
 	if a.base > 0 {
 		if old, _, err = c.source(ctx, a.base); err != nil {
@@ -265,6 +269,24 @@
 	return refused
 }
 
+// newer reads the lists in effect until they are of a version after base: the
+// daemon that refused a change may not have heard of the other one yet.
+func (c *client) newer(ctx context.Context, base uint64) (src []byte, version uint64, err error) {
+	for i := range resolveAttempts {
+		if i > 0 {
+			select {
+			case <-time.After(resolvePause / resolveAttempts):
+			case <-ctx.Done():
+				return nil, 0, ctx.Err()
+			}
+		}
+		if src, version, err = c.source(ctx, 0); err != nil || version > base {
+			break
+		}
+	}
+	return src, version, err
+}
+
 const (
 	resolveAttempts = 5
 	resolvePause    = time.Second
