--- a/internal/app/stagework/client.go
+++ b/internal/app/stagework/client.go
@@ -35,6 +35,7 @@
 	mu        sync.Mutex
 	sizes     map[core.PoolID]int
 	groups    map[core.InstanceID]int
+	pools     map[core.InstanceID]core.PoolID
 	pending   map[core.PoolID][]Result
 	releasing bool
 }
@@ -42,7 +43,7 @@
 // NewClient returns a client.
 func NewClient(f *fleet.Fleet, self fleet.Member, local *Coordinator, remote Coordinators, ev Events, now func() time.Time) *Client {
 	c := &Client{fleet: f, self: self, local: local, remote: remote, events: ev, now: now,
-		sizes: map[core.PoolID]int{}, groups: map[core.InstanceID]int{}, pending: map[core.PoolID][]Result{}}
+		sizes: map[core.PoolID]int{}, groups: map[core.InstanceID]int{}, pools: map[core.InstanceID]core.PoolID{}, pending: map[core.PoolID][]Result{}}
 	local.release, local.wait = c.Release, c.Wait
 	return c
 }
@@ -55,12 +56,20 @@
 	c.mu.Lock()
 	old := c.sizes[p.ID]
 	c.sizes[p.ID] = n
+	known := make(map[core.InstanceID]bool, len(list))
 	for _, e := range list {
+		known[e.ID] = true
 		h := fnv.New32a()
 		h.Write([]byte(e.ID))
 		g := int(h.Sum32() % uint32(n))
 		groups[g] = append(groups[g], e)
-		c.groups[e.ID] = g
+		c.groups[e.ID], c.pools[e.ID] = g, p.ID
+	}
+	for id := range c.groups {
+		if c.pools[id] == p.ID && !known[id] {
+			delete(c.groups, id)
+			delete(c.pools, id)
+		}
 	}
 	c.mu.Unlock()
 	for g := range max(n, old) {
--- a/internal/ctl/ctl.go
+++ b/internal/ctl/ctl.go
@@ -65,6 +65,7 @@
 		{"history", "", "list accepted versions", setupHistory},
 		{"leave", "INSTANCE", "announce that an instance leaves", setupLeave},
 		{"status", "", "list the daemons", setupStatus},
+		{"explain", "ID [FILE...]", "print what daemons' logs say of a request, with what happened beside it", setupExplain},
 		{"load", "SCENARIO", "send load by a scenario file and report what was measured", setupLoad},
 	}
 }
@@ -111,7 +112,7 @@
 		fmt.Fprintf(errOut, "usage: eelgrassctl %s %s [FLAGS]: %s\n", c.name, c.args, c.help)
 		fs.PrintDefaults()
 	}
-	if c.name != "check" && c.name != "load" {
+	if c.name != "check" && c.name != "load" && c.name != "explain" {
 		connectionFlags(fs, &t.conn)
 	}
 	runIt := c.setup(t, fs)
--- /dev/null
+++ b/internal/ctl/explain.go
@@ -0,0 +1,138 @@
+package ctl
+
+import (
+	"bufio"
+	"context"
+	"flag"
+	"io"
+	"os"
+	"slices"
+	"strings"
+	"time"
+)
+
+const (
+	// maxLogLine bounds a line of a log that is read.
+	maxLogLine = 1 << 20
+	// defaultAround is the time before and after a request in which changes of
+	// what the daemons believed are shown with it.
+	defaultAround = 3 * time.Second
+)
+
+// beliefs are the events that change what a daemon believes; they concern no
+// single request.
+var beliefs = []string{"store_lost", "store_regained", "peer_lost", "peer_alive", "endpoint_health", "endpoint_listed", "config_in_force",
+	"config_unreadable", "started", "stopping", "stopped", "reloaded", "requests_cut", "log_lines_dropped", "log_lines_lost"}
+
+// logLine is a line of a daemon's log.
+type logLine struct {
+	at   time.Time
+	text string
+	// own says that the line names the request.
+	own bool
+}
+
+func setupExplain(t *tool, fs *flag.FlagSet) func(context.Context, []string) error {
+	around := fs.Duration("around", defaultAround, "`time` before and after the request for which other events of its peers are shown")
+	return func(_ context.Context, args []string) error {
+		if len(args) < 1 {
+			return usageError("explain takes a request's id and files of logs, or reads standard input")
+		}
+		id, files := args[0], args[1:]
+		var lines []logLine
+		if len(files) == 0 {
+			var err error
+			if lines, err = readLog(os.Stdin, id); err != nil {
+				return err
+			}
+		}
+		for _, name := range files {
+			f, err := os.Open(name)
+			if err != nil {
+				return err
+			}
+			more, err := readLog(f, id)
+			f.Close()
+			if err != nil {
+				return err
+			}
+			lines = append(lines, more...)
+		}
+		return t.explain(id, lines, *around)
+	}
+}
+
+// readLog returns the lines that name the request or change what a daemon
+// believed.
+func readLog(r io.Reader, id string) ([]logLine, error) {
+	s := bufio.NewScanner(r)
+	s.Buffer(make([]byte, 64<<10), maxLogLine)
+	var out []logLine
+	for s.Scan() {
+		text := s.Text()
+		at, err := time.Parse(time.RFC3339Nano, field(text, "time"))
+		if err != nil {
+			continue
+		}
+		own := field(text, "request") == id || strings.Contains(text, `"`+id+`"`)
+		if own || slices.Contains(beliefs, field(text, "event")) {
+			out = append(out, logLine{at, text, own})
+		}
+	}
+	return out, s.Err()
+}
+
+// field returns the value of a key of a line, without quotes.
+func field(line, key string) string {
+	i := strings.Index(" "+line, " "+key+"=")
+	if i < 0 {
+		return ""
+	}
+	v := line[i+len(key)+1:]
+	if strings.HasPrefix(v, `"`) {
+		v, _, _ = strings.Cut(v[1:], `"`)
+		return v
+	}
+	v, _, _ = strings.Cut(v, " ")
+	return v
+}
+
+// explain prints the request's lines in order. Beside them stand the changes
+// that concern an endpoint or a daemon that the request met, the store, or the
+// daemons themselves.
+func (t *tool) explain(id string, lines []logLine, around time.Duration) error {
+	var first, last time.Time
+	met := map[string]bool{}
+	for _, l := range lines {
+		if !l.own {
+			continue
+		}
+		if first.IsZero() || l.at.Before(first) {
+			first = l.at
+		}
+		if l.at.After(last) {
+			last = l.at
+		}
+		for _, key := range []string{"endpoint", "peer", "coordinator", "runner_up"} {
+			if v := field(l.text, key); v != "" {
+				met[v] = true
+			}
+		}
+	}
+	if first.IsZero() {
+		return &exitError{exitFailed, "no line names the request " + id + "; it may have come to another daemon, or its lines were dropped (log_lines_dropped)"}
+	}
+	slices.SortStableFunc(lines, func(a, b logLine) int { return a.at.Compare(b.at) })
+	for _, l := range lines {
+		mark := "  "
+		if !l.own {
+			subject := field(l.text, "endpoint") + field(l.text, "peer")
+			if l.at.Before(first.Add(-around)) || l.at.After(last.Add(around)) || (subject != "" && !met[subject]) {
+				continue
+			}
+			mark = "~ "
+		}
+		t.printf("%s%s\n", mark, l.text)
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/ctl/explain_test.go
@@ -0,0 +1,51 @@
+package ctl
+
+import (
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+)
+
+const sampleLog = `time=2026-01-01T00:00:01Z level=info event=started instance=d1
+time=2026-01-01T00:00:10Z level=info event=request_sent endpoint=e1 pool=p request=aaaa
+time=2026-01-01T00:00:10.1Z level=info event=request_sent endpoint=e2 pool=p request=bbbb
+not a line of a log
+time=2026-01-01T00:00:10.5Z level=info event=endpoint_health endpoint=e1 out=true pool=p
+time=2026-01-01T00:00:10.6Z level=info event=endpoint_health endpoint=e9 out=true pool=p
+time=2026-01-01T00:00:11Z level=warn event=request_ended detail="the endpoint gave no answer" outcome=upstream request=aaaa
+`
+
+const otherLog = `time=2026-01-01T00:00:09.9Z level=info event=stage_call endpoint=m1 pool=s requests=["aaaa","cccc"]
+time=2026-01-01T00:00:10.2Z level=warn event=store_lost table=op
+time=2026-01-01T00:01:00Z level=info event=store_regained table=op
+`
+
+// Guards against an explanation that leaves out lines of the request on other
+// daemons or the changes beside it, or that drowns it in those of others.
+func TestExplain(t *testing.T) {
+	dir := t.TempDir()
+	var files []string
+	for name, text := range map[string]string{"d1": sampleLog, "d2": otherLog} {
+		file := filepath.Join(dir, name)
+		if err := os.WriteFile(file, []byte(text), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		files = append(files, file)
+	}
+	code, out := runTool(append([]string{"explain", "aaaa"}, files...)...)
+	if code != exitOK {
+		t.Fatalf("exit %d: %s", code, out)
+	}
+	var events []string
+	for line := range strings.Lines(out) {
+		events = append(events, line[:2]+field(line[2:], "event"))
+	}
+	want := "  stage_call|  request_sent|~ store_lost|~ endpoint_health|  request_ended"
+	if got := strings.Join(events, "|"); got != want {
+		t.Errorf("got  %s\nwant %s", got, want)
+	}
+	if code, out := runTool("explain", "dddd", files[0]); code != exitFailed || !strings.Contains(out, "no line names") {
+		t.Errorf("an unknown request: exit %d: %s", code, out)
+	}
+}
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -90,6 +90,8 @@
 	if err != nil {
 		return nil, err
 	}
+	// Logs of several daemons are read together.
+	log = log.With().Str("daemon", s.Instance).Logger()
 	runtime.GOMAXPROCS(s.Cores)
 	debug.SetGCPercent(gcPercent)
 	debug.SetMemoryLimit(int64(float64(s.MemoryMB) * memoryShare * (1 << 20)))
@@ -211,7 +213,7 @@
 func (d *Daemon) Run(ctx context.Context) error {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	d.log.Info().Str("instance", d.s.Instance).Str("dc", d.s.DataCenter).Int("cores", d.s.Cores).Int("memory_mb", d.s.MemoryMB).Msg("started")
+	d.log.Info().Str("dc", d.s.DataCenter).Int("cores", d.s.Cores).Int("memory_mb", d.s.MemoryMB).Msg("started")
 	callers := &http.Server{Handler: &platform.Callers{Service: d.forward, MaxBody: maxBody, Now: time.Now}, MaxHeaderBytes: maxHeader,
 		ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}
 	ready := &http.Server{Handler: platform.Ready(d.ready), ReadHeaderTimeout: headerTimeout}
@@ -252,6 +254,7 @@
 	d.follow(ctx)
 	go d.register(ctx)
 	go d.watchList(ctx)
+	go d.cleanDaemons(ctx)
 	return d.wait(ctx, callers, failed)
 }
 
--- a/internal/edge/shared.go
+++ b/internal/edge/shared.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -68,3 +69,65 @@
 func (p *peerTables) Pull(ctx context.Context, table string, after int64) (mirror.Batch, error) {
 	return p.rpc.Pull(ctx, p.fleet.View().Newest[table].Address, table, after)
 }
+
+const (
+	// cleanInterval is how often daemons that are gone are looked for, goneAfter
+	// how long a listed daemon is unheard before its entry is removed: much longer
+	// than a restart or a partition between regions takes.
+	cleanInterval = time.Minute
+	goneAfter     = 15 * time.Minute
+)
+
+// cleanDaemons removes the entries of daemons that were replaced and did not
+// remove them. The first live daemon does so, to spare the store.
+func (d *Daemon) cleanDaemons(ctx context.Context) {
+	t := time.NewTicker(cleanInterval)
+	defer t.Stop()
+	unheard := map[string]time.Time{}
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case now := <-t.C:
+			alive := d.fleet.View().Alive
+			if len(alive) == 0 || string(alive[0].ID) != d.s.Instance {
+				clear(unheard)
+				continue
+			}
+			for _, id := range gone(now, unheard, d.daemons.Snapshot(), alive) {
+				if err := d.store.Remove(ctx, daemonTable, id); err != nil {
+					d.log.Warn().Str("peer", id).Err(err).Msg("daemon_entry_kept")
+					continue
+				}
+				d.log.Info().Str("peer", id).Msg("daemon_entry_removed")
+			}
+		}
+	}
+}
+
+// gone returns the listed daemons that have not been heard for goneAfter.
+// unheard remembers since when each has not.
+func gone(now time.Time, unheard map[string]time.Time, listed *mirror.Snapshot, alive []fleet.Member) []string {
+	for _, m := range alive {
+		delete(unheard, string(m.ID))
+	}
+	var out []string
+	for id := range listed.Rows {
+		if slices.ContainsFunc(alive, func(m fleet.Member) bool { return string(m.ID) == id }) {
+			continue
+		}
+		since, ok := unheard[id]
+		switch {
+		case !ok:
+			unheard[id] = now
+		case now.Sub(since) >= goneAfter:
+			out = append(out, id)
+		}
+	}
+	for id := range unheard {
+		if _, ok := listed.Rows[id]; !ok {
+			delete(unheard, id)
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/internal/edge/shared_test.go
@@ -0,0 +1,47 @@
+package edge
+
+import (
+	"testing"
+	"time"
+
+	"eelgrassgrade/internal/app/fleet"
+	"eelgrassgrade/internal/app/mirror"
+	"eelgrassgrade/internal/decide/repeats"
+)
+
+// Guards against entries of replaced daemons that stay for good, and against
+// removing one that is only cut off or restarts.
+func TestEntriesOfGoneDaemonsAreRemovedLate(t *testing.T) {
+	listed := &mirror.Snapshot{Rows: map[string]mirror.Row{"a": {}, "b": {}, "c": {}}}
+	now, unheard := time.Unix(1000, 0), map[string]time.Time{}
+	alive := []fleet.Member{{ID: "a"}, {ID: "b"}}
+	if got := gone(now, unheard, listed, alive); len(got) != 0 {
+		t.Errorf("removed at once: %v", got)
+	}
+	// b is silent for a while and comes back.
+	gone(now.Add(time.Minute), unheard, listed, alive[:1])
+	gone(now.Add(10*time.Minute), unheard, listed, alive)
+	if got := gone(now.Add(goneAfter), unheard, listed, alive[:1]); len(got) != 1 || got[0] != "c" {
+		t.Errorf("after %v: %v, want c alone", goneAfter, got)
+	}
+	delete(listed.Rows, "c")
+	gone(now.Add(goneAfter), unheard, listed, alive)
+	if len(unheard) != 0 {
+		t.Errorf("remembered: %v", unheard)
+	}
+}
+
+// Guards against a daemon that takes the allowance of all for itself.
+func TestTheAllowanceIsShared(t *testing.T) {
+	limits := repeats.Limits{Slack: 80, Window: 10 * time.Second}
+	count := func(daemons int) int {
+		b, n := newBudgets(limits, func() int { return daemons }), 0
+		for b.Take("p", 1) {
+			n++
+		}
+		return n
+	}
+	if all, part := count(1), count(8); part*8 > int(limits.Slack) || part == 0 || all <= part {
+		t.Errorf("one of 8 daemons may repeat %d calls, a single one %d, of %g", part, all, limits.Slack)
+	}
+}
