--- a/internal/app/fleet/fleet.go
+++ b/internal/app/fleet/fleet.go
@@ -6,14 +6,11 @@
 import (
 	"cmp"
 	"context"
-	"maps"
 	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"eelgrassgrade/internal/core"
 )
 
@@ -110,24 +107,6 @@
 	died     chan struct{}
 }
 
-// View is an immutable view of the live daemons, this one included, and of what
-// the others have in progress.
-type View struct {
-	// Alive is ordered by ID. Leaving daemons are not in it.
-	Alive []Member
-	Loads map[core.InstanceID]EndpointLoad
-	// Waits holds, by pool, the waits told by the daemon that coordinates it.
-	Waits map[core.PoolID]map[core.InstanceID][]time.Duration
-	// Newest is the highest version of each table and a daemon that has it.
-	Newest map[string]Holder
-}
-
-// Holder is a daemon with a version of a table.
-type Holder struct {
-	Version int64
-	Address string
-}
-
 // Fleet is the membership of one daemon.
 type Fleet struct {
 	self      Member
@@ -353,27 +332,6 @@
 	f.view.Store(v)
 }
 
-func (v *View) take(s *Status) {
-	for _, l := range s.Loads {
-		sum := v.Loads[l.Endpoint]
-		sum.Running += l.Running
-		sum.PrefillTokens += l.PrefillTokens
-		sum.Failing = sum.Failing || l.Failing
-		v.Loads[l.Endpoint] = sum
-	}
-	for _, w := range s.Waits {
-		if v.Waits[w.Pool] == nil {
-			v.Waits[w.Pool] = map[core.InstanceID][]time.Duration{}
-		}
-		v.Waits[w.Pool][s.Member.ID] = w.Wait
-	}
-	for table, version := range s.Tables {
-		if version > v.Newest[table].Version {
-			v.Newest[table] = Holder{version, s.Member.Address}
-		}
-	}
-}
-
 // Died returns a channel that is closed when the daemon is lost or restarted. A
 // daemon that is not alive has a closed channel.
 func (f *Fleet) Died(address string) <-chan struct{} {
@@ -386,18 +344,3 @@
 	close(c)
 	return c
 }
-
-// Ranked returns the live daemons in the order of rendezvous hashing for a key.
-// All daemons that see the same members agree on it.
-func (v *View) Ranked(key string) []Member {
-	weights := make(map[core.InstanceID]uint64, len(v.Alive))
-	for _, m := range v.Alive {
-		weights[m.ID] = xxhash.Sum64String(key + "\x00" + string(m.ID))
-	}
-	out := slices.Clone(v.Alive)
-	slices.SortFunc(out, func(a, b Member) int { return cmp.Compare(weights[b.ID], weights[a.ID]) })
-	return out
-}
-
-// Tables returns the newest versions known, for logs.
-func (v *View) Tables() map[string]Holder { return maps.Clone(v.Newest) }
