Let three daemons read the list of endpoints for all

Change: three daemons by rendezvous hashing read it, the others pull their copies and read the store themselves once a copy has stood still for 1.2 s; daemons that are no readers wait longer for configurations, which peers tell them.

--- a/internal/app/mirror/mirror.go
+++ b/internal/app/mirror/mirror.go
@@ -21,6 +21,11 @@
 	// retryDelay spaces calls to a store that fails. Half a second leaves room
 	// for several tries within the bounds on configuration and leaving endpoints.
 	retryDelay = 400 * time.Millisecond
+	// peerPoll is how often the versions of peers are looked at.
+	peerPoll = 100 * time.Millisecond
+	// pullsPerStale is how often a copy that changes all the time is pulled from
+	// readers within the time after which it counts as stale.
+	pullsPerStale = 3
 	// maxTombstones bounds the deletions that are kept for other daemons.
 	maxTombstones = 1024
 )
@@ -79,6 +84,8 @@
 	// forgotten is the version up to which deletions are no longer known.
 	forgotten int64
 
+	// advanced is when the copy last took in a newer version, Unix nanoseconds.
+	advanced  atomic.Int64
 	storeOK   atomic.Bool
 	recovered atomic.Int64 // Unix nanoseconds of the last return of the store
 }
@@ -151,6 +158,7 @@
 		}
 	}
 	t.snap.Store(next)
+	t.advanced.Store(time.Now().UnixNano())
 	if changed {
 		t.changed(next)
 	}
@@ -204,9 +212,31 @@
 	// Wait is how long a call may wait for a change, Pace the least time between
 	// two calls. A table that changes all the time is read at Pace.
 	Wait, Pace time.Duration
+	// IdleWait replaces Wait on daemons that are no readers; 0 keeps Wait.
+	IdleWait time.Duration
 	// FollowPeers says that a newer version at a peer is fetched at once, not only
 	// while the store fails.
 	FollowPeers bool
+	// Reader says whether this daemon is one of those that read the store for all;
+	// nil means that it reads itself. The others follow the readers' copies, and
+	// read the store when their copy has not advanced for StaleAfter. Only a table
+	// that changes all the time may have a StaleAfter.
+	Reader     func() bool
+	StaleAfter time.Duration
+}
+
+// rests says whether the copies of readers suffice for now.
+func (f *Follower) rests() bool {
+	return f.Reader != nil && f.StaleAfter > 0 && !f.Reader() && f.Table.Snapshot().Version > 0 &&
+		time.Since(time.Unix(0, f.Table.advanced.Load())) < f.StaleAfter
+}
+
+// wait returns how long a call may wait for a change.
+func (f *Follower) wait() time.Duration {
+	if f.IdleWait > 0 && f.Reader != nil && !f.Reader() {
+		return f.IdleWait
+	}
+	return f.Wait
 }
 
 // Run follows the table until ctx ends.
@@ -214,6 +244,10 @@
 	go f.followPeers(ctx)
 	var lost time.Time
 	for ctx.Err() == nil {
+		if lost.IsZero() && f.rests() {
+			sleep(ctx, peerPoll)
+			continue
+		}
 		began := time.Now()
 		err := f.step(ctx)
 		switch {
@@ -240,8 +274,9 @@
 func (f *Follower) step(ctx context.Context) error {
 	s := f.Table.Snapshot()
 	if s.Version > 0 {
-		call, cancel := context.WithTimeout(ctx, f.Wait+callSlack)
-		b, err := f.Store.Changes(call, f.Table.name, s.Version, f.Wait)
+		wait := f.wait()
+		call, cancel := context.WithTimeout(ctx, wait+callSlack)
+		b, err := f.Store.Changes(call, f.Table.name, s.Version, wait)
 		cancel()
 		if err == nil {
 			f.Table.Apply(b)
@@ -264,12 +299,17 @@
 
 // followPeers fetches versions that other daemons have and this one lacks.
 func (f *Follower) followPeers(ctx context.Context) {
+	var pulled time.Time
 	for ctx.Err() == nil {
-		sleep(ctx, 100*time.Millisecond)
+		sleep(ctx, peerPoll)
 		have := f.Table.Snapshot().Version
-		if f.Peers.Newest(f.Table.name) <= have || (f.Table.StoreOK() && have > 0 && !f.FollowPeers) {
+		if f.Peers.Newest(f.Table.name) <= have || (f.Table.StoreOK() && have > 0 && !f.FollowPeers && !f.rests()) {
+			continue
+		}
+		if f.StaleAfter > 0 && time.Since(pulled) < f.StaleAfter/pullsPerStale {
 			continue
 		}
+		pulled = time.Now()
 		call, cancel := context.WithTimeout(ctx, callSlack)
 		b, err := f.Peers.Pull(call, f.Table.name, have)
 		cancel()
--- a/internal/app/mirror/mirror_test.go
+++ b/internal/app/mirror/mirror_test.go
@@ -95,13 +95,14 @@
 	lost    bool
 	version int64
 	rows    []Row
-	reads   int
+	// calls counts the calls of any kind.
+	calls int
 }
 
 func (s *store) Read(context.Context, string) (Batch, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.reads++
+	s.calls++
 	if s.down {
 		return Batch{}, errors.New("down")
 	}
@@ -111,6 +112,7 @@
 
 func (s *store) Changes(ctx context.Context, _ string, after int64, wait time.Duration) (Batch, error) {
 	s.mu.Lock()
+	s.calls++
 	down, lost, version, rows := s.down, s.lost, s.version, s.rows
 	s.mu.Unlock()
 	switch {
@@ -205,6 +207,44 @@
 	})
 }
 
+// Guards against a daemon that trusts readers which stand still, and against one
+// that reads the store although readers' copies advance.
+func TestADaemonFollowsReadersAndReadsItselfWhenTheyStandStill(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		s, p, table := &store{}, &peers{}, NewTable("t", nil)
+		s.put(row("a", 1))
+		reader := NewTable("t", nil)
+		p.table.Store(reader)
+		go (&Follower{Table: table, Store: s, Peers: p, Events: &events{}, Pace: 700 * time.Millisecond, StaleAfter: 1200 * time.Millisecond,
+			Reader: func() bool { return false }}).Run(ctx)
+		time.Sleep(200 * time.Millisecond)
+		reads := func() int {
+			s.mu.Lock()
+			defer s.mu.Unlock()
+			return s.calls
+		}
+		before := reads()
+		for v := int64(2); v < 12; v++ {
+			reader.Apply(Batch{Rows: []Row{row("a", v)}, Version: v, Full: true})
+			time.Sleep(500 * time.Millisecond)
+			if got := table.Snapshot().Version; got < v-1 {
+				t.Errorf("half a second after version %d: %d", v, got)
+			}
+		}
+		if n := reads() - before; n > 1 {
+			t.Errorf("%d calls of the store beside readers that advance", n)
+		}
+		s.put(row("b", 20))
+		time.Sleep(1500 * time.Millisecond)
+		if got := keys(table.Snapshot()); got != "a11 b20 " {
+			t.Errorf("1.5 s after the readers stood still: %s", got)
+		}
+		cancel()
+		synctest.Wait()
+	})
+}
+
 // Guards against a copy that misses what changed while history was dropped.
 func TestAFollowerReadsAllAfterLostHistory(t *testing.T) {
 	follow(t, func(s *store, _ *peers, table *Table, _ *events) {
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -40,9 +40,18 @@
 	// configWait is how long a read of the configuration waits for a change. It
 	// bounds how long a silent connection hides one.
 	configWait = 2 * time.Second
+	// idleConfigWait is the same for daemons that are no readers: they hear of a
+	// newer version from peers at once.
+	idleConfigWait = 10 * time.Second
+	// readers is the number of daemons that read the list of endpoints for all.
+	readers = 3
+	// listStale is how long the list may stand still before a daemon reads it
+	// itself. With listPace and the time between exchanges it stays within the two
+	// seconds for which a leaving endpoint may get work.
+	listStale = 1200 * time.Millisecond
 	// listPace spaces reads of the list of endpoints, which changes all the time.
 	// A leaving endpoint may get work for two seconds.
-	listPace   = time.Second
+	listPace   = 700 * time.Millisecond
 	daemonWait = 5 * time.Second
 	// maxBody and maxHeader bound callers' requests.
 	maxBody   = 8 << 20
@@ -161,7 +170,12 @@
 func (d *Daemon) listChanged(s *mirror.Snapshot) {
 	list, skipped := platform.Endpoints(s)
 	d.tel.EntriesSkipped(skipped)
-	d.set.Update(list, d.list.Recovered())
+	outageEnd := d.list.Recovered()
+	if !d.list.StoreOK() {
+		// The list came from a peer: the store may have returned just now.
+		outageEnd = time.Now()
+	}
+	d.set.Update(list, outageEnd)
 }
 
 func (d *Daemon) endpointsChanged(v *endpoints.View, changes []endpoints.Change) {
@@ -261,15 +275,27 @@
 func (d *Daemon) follow(ctx context.Context) {
 	peers := &peerTables{fleet: d.fleet, rpc: d.rpc}
 	for _, f := range []*mirror.Follower{
-		{Table: d.config, Wait: configWait, FollowPeers: true},
-		{Table: d.list, Pace: listPace},
-		{Table: d.daemons, Wait: daemonWait, FollowPeers: true},
+		{Table: d.config, Wait: configWait, IdleWait: idleConfigWait, FollowPeers: true},
+		{Table: d.list, Pace: listPace, StaleAfter: listStale},
+		{Table: d.daemons, Wait: daemonWait, IdleWait: idleConfigWait, FollowPeers: true},
 	} {
-		f.Store, f.Peers, f.Events = d.store, peers, d.tel
+		f.Store, f.Peers, f.Events, f.Reader = d.store, peers, d.tel, d.reader
 		go f.Run(ctx)
 	}
 }
 
+// reader says whether this daemon reads the store for all. All daemons agree on
+// the readers as long as they see the same daemons alive.
+func (d *Daemon) reader() bool {
+	ranked := d.fleet.View().Ranked(daemonTable)
+	for _, m := range ranked[:min(readers, len(ranked))] {
+		if string(m.ID) == d.s.Instance {
+			return true
+		}
+	}
+	return false
+}
+
 // register lists the daemon in the store.
 func (d *Daemon) register(ctx context.Context) {
 	row, err := json.Marshal(daemonRow{Address: d.s.Listen.Peers, DataCenter: d.s.DataCenter})
