Bound and spread when refused callers come back; explain with the daemons met

Cause: a refusal from a stage's queue told the estimated wait as it was, up to an hour and the same for all; eelgrassctl explain printed the changes of every daemon. Test: TestRetryAfterIsBoundedAndSpread failed with 1h0m0s before.

--- a/internal/app/forward/attempt.go
+++ b/internal/app/forward/attempt.go
@@ -63,7 +63,7 @@
 // attempts offers a request to endpoints until one answers.
 func (f *Forwarder) attempts(ctx context.Context, x *exchange, w http.ResponseWriter) (*core.Error, bool) {
 	tried := map[core.InstanceID]bool{}
-	var last error = &core.Error{Kind: core.Unavailable, Step: "endpoint", Ran: core.RanNot, RetryAfter: retryAfter(500 * time.Millisecond), Detail: "no endpoint of the pool is in rotation"}
+	var last error = &core.Error{Kind: core.Unavailable, Step: "endpoint", Ran: core.RanNot, RetryAfter: 500 * time.Millisecond, Detail: "no endpoint of the pool is in rotation"}
 	s := &stream{f: f, x: x, w: w}
 	runs := 0
 	for try := 1; try <= maxTries; try++ {
@@ -186,7 +186,7 @@
 		if a.InputsGone {
 			kind = core.Conflict
 		}
-		return &core.Error{Kind: kind, Step: "endpoint", Peer: string(e.ID), Ran: core.RanNot, RetryAfter: retryAfter(300 * time.Millisecond), Detail: "the endpoint did not take the request: status " + strconv.Itoa(a.Status)}
+		return &core.Error{Kind: kind, Step: "endpoint", Peer: string(e.ID), Ran: core.RanNot, RetryAfter: 300 * time.Millisecond, Detail: "the endpoint did not take the request: status " + strconv.Itoa(a.Status)}
 	}
 	body, err := io.ReadAll(io.LimitReader(a.Body, maxAnswer+1))
 	switch {
--- a/internal/app/forward/forward.go
+++ b/internal/app/forward/forward.go
@@ -190,7 +190,7 @@
 	x.plan = makePlan(x.route, x.snap, x.req.Pieces, f.paces.expect(x.route.Name), func(i int) time.Duration { return f.stages.Wait(x.route.Stages[i].Pool, x.rank) })
 	if left := x.begin.Sub(f.now()); x.plan.total > left {
 		// The caller may come back when the queue of now is worked off.
-		return &core.Error{Kind: core.Unavailable, Step: "admission", Ran: core.RanNot, RetryAfter: retryAfter(x.plan.waits),
+		return &core.Error{Kind: core.Unavailable, Step: "admission", Ran: core.RanNot, RetryAfter: x.plan.waits,
 			Detail: "the stages' queues are too long for the time left"}
 	}
 	if c := f.candidates(x, nil); len(c) > 0 {
@@ -227,9 +227,7 @@
 		if e.Kind == core.DeadlineExceeded || e.Kind == core.Conflict || e.Kind == core.Upstream {
 			e.Kind = core.Unavailable
 		}
-		if e.RetryAfter == 0 {
-			e.RetryAfter = retryAfter(minRetryAfter)
-		}
+		e.RetryAfter = retryAfter(e.RetryAfter)
 		return &e
 	}
 	if e.Kind != core.DeadlineExceeded {
--- a/internal/app/forward/forward_test.go
+++ b/internal/app/forward/forward_test.go
@@ -282,6 +282,26 @@
 	})
 }
 
+// Guards against callers that are told to come back after an hour, or all at the
+// same moment.
+func TestRetryAfterIsBoundedAndSpread(t *testing.T) {
+	seen := map[time.Duration]bool{}
+	for range 20 {
+		start(t, 1, func(w *world) {
+			w.script = func(core.Endpoint, *Outgoing, int) act { return act{} }
+			w.stageErr = &core.Error{Kind: core.Unavailable, Ran: core.RanNot, RetryAfter: time.Hour, Detail: "too long"}
+			got := w.ask(context.Background(), "staged", func(r *Request) { r.Pieces = []int{1, 1} })
+			if a := got.err.RetryAfter; a < maxRetryAfter/2 || a > 2*maxRetryAfter {
+				t.Errorf("told to come back after %v", a)
+			}
+			seen[got.err.RetryAfter] = true
+		})
+	}
+	if len(seen) < 10 {
+		t.Errorf("20 callers are told %d times", len(seen))
+	}
+}
+
 // Guards against a content that takes down endpoint after endpoint, and against
 // refusing a content whose endpoints crashed by chance.
 func TestContentsThatCrashEndpointsAreRefused(t *testing.T) {
--- a/internal/ctl/explain.go
+++ b/internal/ctl/explain.go
@@ -97,12 +97,12 @@
 	return v
 }
 
-// explain prints the request's lines in order. Beside them stand the changes
-// that concern an endpoint or a daemon that the request met, the store, or the
-// daemons themselves.
+// explain prints the request's lines in order. Beside them stand the changes of
+// what the daemons that it met believed of endpoints and daemons that it met, of
+// the store, and of themselves.
 func (t *tool) explain(id string, lines []logLine, around time.Duration) error {
 	var first, last time.Time
-	met := map[string]bool{}
+	met, daemons := map[string]bool{}, map[string]bool{}
 	for _, l := range lines {
 		if !l.own {
 			continue
@@ -113,6 +113,7 @@
 		if l.at.After(last) {
 			last = l.at
 		}
+		daemons[field(l.text, "daemon")] = true
 		for _, key := range []string{"endpoint", "peer", "coordinator", "runner_up"} {
 			if v := field(l.text, key); v != "" {
 				met[v] = true
@@ -127,7 +128,7 @@
 		mark := "  "
 		if !l.own {
 			subject := field(l.text, "endpoint") + field(l.text, "peer")
-			if l.at.Before(first.Add(-around)) || l.at.After(last.Add(around)) || (subject != "" && !met[subject]) {
+			if l.at.Before(first.Add(-around)) || l.at.After(last.Add(around)) || !daemons[field(l.text, "daemon")] || (subject != "" && !met[subject]) {
 				continue
 			}
 			mark = "~ "
--- a/internal/ctl/explain_test.go
+++ b/internal/ctl/explain_test.go
@@ -7,18 +7,19 @@
 	"testing"
 )
 
-const sampleLog = `time=2026-01-01T00:00:01Z level=info event=started instance=d1
-time=2026-01-01T00:00:10Z level=info event=request_sent endpoint=e1 pool=p request=aaaa
-time=2026-01-01T00:00:10.1Z level=info event=request_sent endpoint=e2 pool=p request=bbbb
+const sampleLog = `time=2026-01-01T00:00:01Z level=info daemon=d1 event=started instance=d1
+time=2026-01-01T00:00:10Z level=info daemon=d1 event=request_sent endpoint=e1 pool=p request=aaaa
+time=2026-01-01T00:00:10.1Z level=info daemon=d1 event=request_sent endpoint=e2 pool=p request=bbbb
 not a line of a log
-time=2026-01-01T00:00:10.5Z level=info event=endpoint_health endpoint=e1 out=true pool=p
-time=2026-01-01T00:00:10.6Z level=info event=endpoint_health endpoint=e9 out=true pool=p
-time=2026-01-01T00:00:11Z level=warn event=request_ended detail="the endpoint gave no answer" outcome=upstream request=aaaa
+time=2026-01-01T00:00:10.5Z level=info daemon=d1 event=endpoint_health endpoint=e1 out=true pool=p
+time=2026-01-01T00:00:10.55Z level=warn daemon=d7 event=store_lost table=op
+time=2026-01-01T00:00:10.6Z level=info daemon=d1 event=endpoint_health endpoint=e9 out=true pool=p
+time=2026-01-01T00:00:11Z level=warn daemon=d1 event=request_ended detail="the endpoint gave no answer" outcome=upstream request=aaaa
 `
 
-const otherLog = `time=2026-01-01T00:00:09.9Z level=info event=stage_call endpoint=m1 pool=s requests=["aaaa","cccc"]
-time=2026-01-01T00:00:10.2Z level=warn event=store_lost table=op
-time=2026-01-01T00:01:00Z level=info event=store_regained table=op
+const otherLog = `time=2026-01-01T00:00:09.9Z level=info daemon=d2 event=stage_call endpoint=m1 pool=s requests=["aaaa","cccc"]
+time=2026-01-01T00:00:10.2Z level=warn daemon=d2 event=store_lost table=op
+time=2026-01-01T00:01:00Z level=info daemon=d2 event=store_regained table=op
 `
 
 // Guards against an explanation that leaves out lines of the request on other
