--- a/internal/adapter/telemetry/hosted.go
+++ b/internal/adapter/telemetry/hosted.go
@@ -112,6 +112,9 @@
 	if o.Err != nil {
 		e = *o.Err
 		outcome = e.Kind.String()
+		if o.CallerLeft {
+			outcome = "caller_left"
+		}
 	} else if o.Cut {
 		outcome = "cut"
 	}
--- a/internal/app/forward/forward.go
+++ b/internal/app/forward/forward.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"math/rand/v2"
 	"net/http"
 	"sync/atomic"
@@ -98,8 +99,9 @@
 
 // Serve answers a request. A returned error means that nothing was written to w
 // and that the caller gets a refusal; with cut the answer was broken off and the
-// connection must not look as if it were complete.
-func (f *Forwarder) Serve(ctx context.Context, r *Request, w http.ResponseWriter) (err *core.Error, cut bool) {
+// connection must not look as if it were complete. caller ends when the caller
+// leaves.
+func (f *Forwarder) Serve(caller context.Context, r *Request, w http.ResponseWriter) (err *core.Error, cut bool) {
 	f.active.Add(1)
 	defer f.active.Add(-1)
 	x := &exchange{req: r, out: Outcome{Request: r}}
@@ -107,12 +109,13 @@
 		x.out.Route, x.out.Pool, x.out.Account, x.out.Rank = x.route, x.pool, x.account, x.rank
 		x.out.Total = f.now().Sub(r.Arrived)
 		x.out.Err, x.out.Cut = err, cut
+		x.out.CallerLeft = caller.Err() != nil
 		f.events.Ended(&x.out)
 	}()
 	if err := f.admit(x); err != nil {
 		return err, false
 	}
-	ctx, cancel := context.WithDeadline(ctx, x.deadline)
+	ctx, cancel := context.WithDeadline(caller, x.deadline)
 	defer cancel()
 	if err := f.prepare(ctx, x); err != nil {
 		return f.final(ctx, x, err), false
@@ -191,7 +194,8 @@
 	if left := x.begin.Sub(f.now()); x.plan.total > left {
 		// The caller may come back when the queue of now is worked off.
 		return &core.Error{Kind: core.Unavailable, Step: "admission", Ran: core.RanNot, RetryAfter: x.plan.waits,
-			Detail: "the stages' queues are too long for the time left"}
+			Detail: fmt.Sprintf("the stages' queues are too long for the time left: %d ms expected, %d ms of them waits, %d ms left",
+				x.plan.total.Milliseconds(), x.plan.waits.Milliseconds(), left.Milliseconds())}
 	}
 	if c := f.candidates(x, nil); len(c) > 0 {
 		x.near = c[0].Endpoint.DataCenter
--- a/internal/app/forward/ports.go
+++ b/internal/app/forward/ports.go
@@ -125,6 +125,8 @@
 	// LongestGap is the longest pause between two events as they came from the
 	// endpoint.
 	LongestGap time.Duration
+	// CallerLeft says that the caller had closed its connection before the end.
+	CallerLeft bool
 	// Cut says that the answer was broken off.
 	Cut bool
 	Err *core.Error
--- a/internal/app/stagework/queue.go
+++ b/internal/app/stagework/queue.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"fmt"
 	"slices"
 	"time"
 
@@ -92,7 +93,8 @@
 		}
 		if wait := batching.Wait(i, rate, overtaking); !it.task.ended && now.Add(time.Duration(hopeless*float64(wait))).After(it.Deadline) {
 			p.end(it.task, &core.Error{Kind: core.Unavailable, Step: "stage", Ran: core.RanNot, RetryAfter: wait,
-				Detail: "the queue of the stage is too long for the time left"})
+				Detail: fmt.Sprintf("the queue of the stage is too long for the time left: %d pieces ahead, %.0f done a second, %.0f more urgent ones come in a second, %d ms left",
+					i, rate, overtaking, it.Deadline.Sub(now).Milliseconds())})
 		}
 	}
 }
--- /dev/null
+++ b/internal/settings/hosted_test.go
@@ -0,0 +1,49 @@
+package settings
+
+import (
+	"strings"
+	"testing"
+)
+
+const hostedText = `{
+  // comments are allowed
+  "instance": "d1", "data_center": "a",
+  "listen": {"callers": "10.0.0.1:1", "ready": "10.0.0.1:2", "peers": "10.0.0.1:3", "metrics": "10.0.0.1:4"},
+  "store": "10.0.0.9:1", "peers": ["10.0.0.2:3"], "cores": 1, "memory_mb": 284,
+  "repeats": {"ratio": 0.2, "slack": 56, "window_s": 10},
+}`
+
+// Guards against defaults that are lost.
+func TestHostedDefaults(t *testing.T) {
+	h, err := ParseHosted("f", []byte(hostedText))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if h.StopWithinS != 8 || h.Log.LinesPerS != 200 || h.Peers[0] != "10.0.0.2:3" {
+		t.Errorf("settings %+v", h)
+	}
+}
+
+// Guards against a daemon that starts with settings it cannot work with, and
+// against refusals that do not name the key.
+func TestHostedSettingsAreChecked(t *testing.T) {
+	for _, c := range []struct{ old, new, key string }{
+		{`"instance": "d1"`, `"instance": ""`, "instance"},
+		{`"data_center": "a"`, `"data_center": ""`, "data_center"},
+		{`"10.0.0.1:2"`, `"host:2"`, "listen.ready"},
+		{`"store": "10.0.0.9:1"`, `"store": "10.0.0.9"`, "store"},
+		{`["10.0.0.2:3"]`, `["x"]`, "peers[0]"},
+		{`"cores": 1`, `"cores": 0`, "cores"},
+		{`"memory_mb": 284`, `"memory_mb": -1`, "memory_mb"},
+		{`"window_s": 10`, `"window_s": 0`, "repeats.window_s"},
+		{`"ratio": 0.2`, `"ratio": -1`, "repeats"},
+		{`"cores": 1`, `"cores": 1, "log": {"lines_per_s": -3}`, "log.lines_per_s"},
+		{`"cores": 1`, `"cores": 1, "stop_within_s": 0.5`, "stop_within_s"},
+		{`"cores": 1`, `"cores": 1, "croes": 1`, "croes"},
+	} {
+		_, err := ParseHosted("f", []byte(strings.Replace(hostedText, c.old, c.new, 1)))
+		if err == nil || !strings.Contains(err.Error(), `"`+c.key+`"`) {
+			t.Errorf("%s: %v", c.new, err)
+		}
+	}
+}
