--- a/internal/app/fleet/fleet.go
+++ b/internal/app/fleet/fleet.go
@@ -20,8 +20,13 @@
 	// exchangeTimeout bounds an exchange.
 	exchangeTimeout = 400 * time.Millisecond
 	// aliveFor is how long a daemon counts as alive after it was last heard: two
-	// lost exchanges and their timeouts.
+	// lost exchanges and their timeouts. Where peers take turns, the time between
+	// two exchanges comes on top.
 	aliveFor = 1100 * time.Millisecond
+	// knownEach is how many statuses apart the list of known daemons is told after
+	// the first startRounds, in which daemons that started together find each other.
+	knownEach   = 8
+	startRounds = 128
 	// dropAfter failed exchanges in a row the connection is replaced, since an
 	// open one may be silent while new ones work.
 	dropAfter = 2
@@ -123,6 +128,15 @@
 	mu    sync.Mutex
 	peers map[string]*peer // by address
 	turn  int
+	// rounds counts the statuses that this daemon told.
+	rounds int
+}
+
+// silence returns how long a daemon may be silent and count as alive. The caller
+// holds mu.
+func (f *Fleet) silence() time.Duration {
+	turns := (len(f.peers) + maxPeers - 1) / maxPeers
+	return aliveFor + time.Duration(max(turns-1, 0))*interval*5/4
 }
 
 // Options of a Fleet.
@@ -264,6 +278,9 @@
 	s.Member, s.Incarnation, s.Leaving = f.self, f.born, f.leaving.Load()
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	if f.rounds++; f.rounds > startRounds && f.rounds%knownEach != 1 {
+		return s
+	}
 	for _, p := range f.peers {
 		if p.alive && len(s.Known) < maxPeers {
 			s.Known = append(s.Known, p.member)
@@ -311,8 +328,9 @@
 	if !f.leaving.Load() {
 		v.Alive = append(v.Alive, f.self)
 	}
+	silence := f.silence()
 	for _, p := range f.peers {
-		fresh := p.status != nil && now.Sub(p.heard) < aliveFor
+		fresh := p.status != nil && now.Sub(p.heard) < silence
 		if !fresh {
 			if p.alive {
 				f.lost(p)
--- a/internal/app/fleet/fleet_test.go
+++ b/internal/app/fleet/fleet_test.go
@@ -106,6 +106,22 @@
 	})
 }
 
+// Pattern: more daemons than one exchanges with in an interval. They must not
+// count as lost because their turn has not come.
+func TestManyDaemonsStayAlive(t *testing.T) {
+	start(t, 6*maxPeers, func(_ *network, list []*Fleet) {
+		time.Sleep(3 * time.Second)
+		for range 4 {
+			time.Sleep(300 * time.Millisecond)
+			for i, f := range list {
+				if n := len(f.View().Alive); n != len(list) {
+					t.Fatalf("daemon %d sees %d of %d", i, n, len(list))
+				}
+			}
+		}
+	})
+}
+
 // Guards against a daemon that is cut off and still counts as alive, or that is
 // not found again; work waits on it until then.
 func TestALostDaemonIsNoticedAndFoundAgain(t *testing.T) {
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -88,6 +88,7 @@
 	budgets  *budgets
 	metrics  *metrics.Set
 	stopping atomic.Bool
+	shutdown chan struct{}
 
 	config, list, daemons *mirror.Table
 	update                sync.Mutex
@@ -104,7 +105,7 @@
 	runtime.GOMAXPROCS(s.Cores)
 	debug.SetGCPercent(gcPercent)
 	debug.SetMemoryLimit(int64(float64(s.MemoryMB) * memoryShare * (1 << 20)))
-	d := &Daemon{path: path, s: s, log: log, metrics: metrics.NewSet()}
+	d := &Daemon{path: path, s: s, log: log, metrics: metrics.NewSet(), shutdown: make(chan struct{}, 1)}
 	d.tel = telemetry.NewHosted(log, d.metrics, s.Log.LinesPerS)
 	d.store = platform.NewStore(s.Store)
 	d.rpc = fleetrpc.NewClient(time.Now)
@@ -327,6 +328,15 @@
 	}
 }
 
+// Shutdown stops the daemon as SIGTERM does. It returns at once; Run returns
+// when the requests in progress are finished.
+func (d *Daemon) Shutdown() {
+	select {
+	case d.shutdown <- struct{}{}:
+	default:
+	}
+}
+
 // wait handles signals until the daemon has stopped.
 func (d *Daemon) wait(ctx context.Context, callers *http.Server, failed <-chan error) error {
 	signals := make(chan os.Signal, 4)
@@ -337,6 +347,9 @@
 			return err
 		case <-ctx.Done():
 			return callers.Close()
+		case <-d.shutdown:
+			d.stop(callers)
+			return nil
 		case s := <-signals:
 			if s == syscall.SIGHUP {
 				d.reload()
