Wait for changes of the list of endpoints instead of polling it

Change: all wait for changes at the store, readers for 1 s, the others until just before entries could lapse unnoticed; polling and staleness of copies are removed.

--- a/internal/app/mirror/mirror.go
+++ b/internal/app/mirror/mirror.go
@@ -21,11 +21,12 @@
 	// retryDelay spaces calls to a store that fails. Half a second leaves room
 	// for several tries within the bounds on configuration and leaving endpoints.
 	retryDelay = 400 * time.Millisecond
+	// minPace is the least time between two calls for a table.
+	minPace = 100 * time.Millisecond
 	// peerPoll is how often the versions of peers are looked at.
 	peerPoll = 100 * time.Millisecond
-	// pullsPerStale is how often a copy that changes all the time is pulled from
-	// readers within the time after which it counts as stale.
-	pullsPerStale = 3
+	// emptyPause is the time after a pull that brought nothing.
+	emptyPause = time.Second
 	// maxTombstones bounds the deletions that are kept for other daemons.
 	maxTombstones = 1024
 )
@@ -84,8 +85,6 @@
 	// forgotten is the version up to which deletions are no longer known.
 	forgotten int64
 
-	// advanced is when the copy last took in a newer version, Unix nanoseconds.
-	advanced  atomic.Int64
 	storeOK   atomic.Bool
 	recovered atomic.Int64 // Unix nanoseconds of the last return of the store
 }
@@ -158,7 +157,6 @@
 		}
 	}
 	t.snap.Store(next)
-	t.advanced.Store(time.Now().UnixNano())
 	if changed {
 		t.changed(next)
 	}
@@ -209,26 +207,18 @@
 	Store  Store
 	Peers  Peers
 	Events Events
-	// Wait is how long a call may wait for a change, Pace the least time between
-	// two calls. A table that changes all the time is read at Pace.
-	Wait, Pace time.Duration
+	// Wait is how long a call may wait for a change. It bounds for how long a
+	// silent connection or an outage goes unnoticed.
+	Wait time.Duration
 	// IdleWait replaces Wait on daemons that are no readers; 0 keeps Wait.
 	IdleWait time.Duration
 	// FollowPeers says that a newer version at a peer is fetched at once, not only
 	// while the store fails.
 	FollowPeers bool
-	// Reader says whether this daemon is one of those that read the store for all;
-	// nil means that it reads itself. The others follow the readers' copies, and
-	// read the store when their copy has not advanced for StaleAfter. Only a table
-	// that changes all the time may have a StaleAfter.
-	Reader     func() bool
-	StaleAfter time.Duration
-}
-
-// rests says whether the copies of readers suffice for now.
-func (f *Follower) rests() bool {
-	return f.Reader != nil && f.StaleAfter > 0 && !f.Reader() && f.Table.Snapshot().Version > 0 &&
-		time.Since(time.Unix(0, f.Table.advanced.Load())) < f.StaleAfter
+	// Reader says whether this daemon is one of those that notice a silent
+	// connection to the store early, by a short Wait; nil means that it is. The
+	// others hear of a newer version from the readers.
+	Reader func() bool
 }
 
 // wait returns how long a call may wait for a change.
@@ -244,10 +234,6 @@
 	go f.followPeers(ctx)
 	var lost time.Time
 	for ctx.Err() == nil {
-		if lost.IsZero() && f.rests() {
-			sleep(ctx, peerPoll)
-			continue
-		}
 		began := time.Now()
 		err := f.step(ctx)
 		switch {
@@ -263,11 +249,12 @@
 			f.Events.StoreRegained(f.Table.name, time.Since(lost))
 			lost = time.Time{}
 		}
-		pause := f.Pace - time.Since(began)
 		if err != nil {
-			pause = retryDelay
+			sleep(ctx, retryDelay)
+		} else {
+			// A store that answers at once although nothing changed is not pressed.
+			sleep(ctx, minPace-time.Since(began))
 		}
-		sleep(ctx, pause)
 	}
 }
 
@@ -299,23 +286,23 @@
 
 // followPeers fetches versions that other daemons have and this one lacks.
 func (f *Follower) followPeers(ctx context.Context) {
-	var pulled time.Time
+	var again time.Time
 	for ctx.Err() == nil {
 		sleep(ctx, peerPoll)
 		have := f.Table.Snapshot().Version
-		if f.Peers.Newest(f.Table.name) <= have || (f.Table.StoreOK() && have > 0 && !f.FollowPeers && !f.rests()) {
+		if f.Peers.Newest(f.Table.name) <= have || (f.Table.StoreOK() && have > 0 && !f.FollowPeers) || time.Now().Before(again) {
 			continue
 		}
-		if f.StaleAfter > 0 && time.Since(pulled) < f.StaleAfter/pullsPerStale {
-			continue
-		}
-		pulled = time.Now()
 		call, cancel := context.WithTimeout(ctx, callSlack)
 		b, err := f.Peers.Pull(call, f.Table.name, have)
 		cancel()
 		if err == nil {
 			f.Table.Apply(b)
 		}
+		if len(b.Rows) == 0 {
+			// The version grows with other tables too, or the peer does not answer.
+			again = time.Now().Add(emptyPause)
+		}
 	}
 }
 
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -40,19 +40,21 @@
 	// configWait is how long a read of the configuration waits for a change. It
 	// bounds how long a silent connection hides one.
 	configWait = 2 * time.Second
-	// idleConfigWait is the same for daemons that are no readers: they hear of a
-	// newer version from peers at once.
-	idleConfigWait = 10 * time.Second
-	// readers is the number of daemons that read the list of endpoints for all.
-	readers = 3
-	// listStale is how long the list may stand still before a daemon reads it
-	// itself. With listPace and the time between exchanges it stays within the two
-	// seconds for which a leaving endpoint may get work.
-	listStale = 1200 * time.Millisecond
-	// listPace spaces reads of the list of endpoints, which changes all the time.
-	// A leaving endpoint may get work for two seconds.
-	listPace   = 700 * time.Millisecond
+	// idleWait is the wait of daemons that are no readers: they hear of a newer
+	// version from peers at once.
+	idleWait = 20 * time.Second
+	// readers is the number of daemons with the short waits. With two, a slow link
+	// of one of them does not delay a change everywhere.
+	readers = 2
+	// listWait is the same for the list of endpoints: a leaving endpoint may get
+	// work for two seconds.
+	listWait   = time.Second
 	daemonWait = 5 * time.Second
+	// lapsedBeats is the number of heartbeats after which the platform drops an
+	// endpoint's entry. An outage of the store in which entries lapse has to be
+	// noticed, so a wait for a change of the list is shorter, by lapseMargin.
+	lapsedBeats = 3
+	lapseMargin = 1100 * time.Millisecond
 	// maxBody and maxHeader bound callers' requests.
 	maxBody   = 8 << 20
 	maxHeader = 64 << 10
@@ -276,17 +278,24 @@
 func (d *Daemon) follow(ctx context.Context) {
 	peers := &peerTables{fleet: d.fleet, rpc: d.rpc}
 	for _, f := range []*mirror.Follower{
-		{Table: d.config, Wait: configWait, IdleWait: idleConfigWait, FollowPeers: true},
-		{Table: d.list, Pace: listPace, StaleAfter: listStale},
-		{Table: d.daemons, Wait: daemonWait, IdleWait: idleConfigWait, FollowPeers: true},
+		{Table: d.config, Wait: configWait, IdleWait: idleWait},
+		{Table: d.list, Wait: listWait, IdleWait: d.listIdleWait()},
+		{Table: d.daemons, Wait: daemonWait, IdleWait: idleWait},
 	} {
-		f.Store, f.Peers, f.Events, f.Reader = d.store, peers, d.tel, d.reader
+		f.Store, f.Peers, f.Events, f.Reader, f.FollowPeers = d.store, peers, d.tel, d.reader, true
 		go f.Run(ctx)
 	}
 }
 
-// reader says whether this daemon reads the store for all. All daemons agree on
-// the readers as long as they see the same daemons alive.
+// listIdleWait returns the wait of daemons that are no readers for a change of
+// the list.
+func (d *Daemon) listIdleWait() time.Duration {
+	lapse := lapsedBeats * time.Duration(d.s.EndpointHeartbeatMs) * time.Millisecond
+	return min(max(lapse-lapseMargin, listWait), idleWait)
+}
+
+// reader says whether this daemon has the short waits. All daemons agree on the
+// readers as long as they see the same daemons alive.
 func (d *Daemon) reader() bool {
 	ranked := d.fleet.View().Ranked(daemonTable)
 	for _, m := range ranked[:min(readers, len(ranked))] {
--- a/internal/settings/hosted.go
+++ b/internal/settings/hosted.go
@@ -23,6 +23,9 @@
 	// Cores and MemoryMB are what the process may use.
 	Cores    int `json:"cores"`
 	MemoryMB int `json:"memory_mb"`
+	// EndpointHeartbeatMs is the time between two heartbeats of an endpoint in the
+	// platform's list, in ms. Default: 1000 ms.
+	EndpointHeartbeatMs int `json:"endpoint_heartbeat_ms,omitempty"`
 	// StopWithinS is the time from SIGTERM to SIGKILL in seconds. Default: 8 s.
 	StopWithinS float64 `json:"stop_within_s,omitempty"`
 	// Repeats bounds repeated calls to a pool over all daemons.
@@ -60,6 +63,7 @@
 const (
 	defaultStopWithinS = 8
 	defaultLinesPerS   = 200
+	defaultHeartbeatMs = 1000
 )
 
 // LoadHosted reads and checks the file at path.
@@ -84,6 +88,9 @@
 	if h.StopWithinS == 0 {
 		h.StopWithinS = defaultStopWithinS
 	}
+	if h.EndpointHeartbeatMs == 0 {
+		h.EndpointHeartbeatMs = defaultHeartbeatMs
+	}
 	if h.Log.LinesPerS == 0 {
 		h.Log.LinesPerS = defaultLinesPerS
 	}
@@ -123,6 +130,8 @@
 		return doc.Errorf("cores", fmt.Sprint(h.Cores), "1 or more")
 	case h.MemoryMB < 1:
 		return doc.Errorf("memory_mb", fmt.Sprint(h.MemoryMB), "1 or more, in MB")
+	case h.EndpointHeartbeatMs < 1:
+		return doc.Errorf("endpoint_heartbeat_ms", fmt.Sprint(h.EndpointHeartbeatMs), "1 ms or more")
 	case h.StopWithinS < 1:
 		return doc.Errorf("stop_within_s", fmt.Sprint(h.StopWithinS), "1 s or more")
 	case h.Repeats.Ratio < 0 || h.Repeats.Slack < 0:
--- a/internal/settings/hosted_test.go
+++ b/internal/settings/hosted_test.go
@@ -38,6 +38,7 @@
 		{`"window_s": 10`, `"window_s": 0`, "repeats.window_s"},
 		{`"ratio": 0.2`, `"ratio": -1`, "repeats"},
 		{`"cores": 1`, `"cores": 1, "log": {"lines_per_s": -3}`, "log.lines_per_s"},
+		{`"cores": 1`, `"cores": 1, "endpoint_heartbeat_ms": -1`, "endpoint_heartbeat_ms"},
 		{`"cores": 1`, `"cores": 1, "stop_within_s": 0.5`, "stop_within_s"},
 		{`"cores": 1`, `"cores": 1, "croes": 1`, "croes"},
 	} {
