Name the makers of inputs that are gone, and why a call failed

Ruled out: the endpoint's answer, which names no input. Change: the failure names the endpoints that made the inputs and the age of the oldest, the call's own failure is part of the detail, and a request whose stages run again logs request_again. Test: TestAStageWithoutItsInputsNamesTheirMakers, fails without.

--- a/internal/app/forward/fake_test.go
+++ b/internal/app/forward/fake_test.go
@@ -44,9 +44,11 @@
 	cancels  int
 	tasks    []*stagework.Task
 	released int
-	stageErr error
-	wait     time.Duration
-	allowed  bool
+	// stageErr fails the stages from stageErrFrom on.
+	stageErr     error
+	stageErrFrom int
+	wait         time.Duration
+	allowed      bool
 	// crashing says that endpoints which break off are down afterwards.
 	crashing bool
 }
@@ -131,7 +133,7 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.tasks = append(w.tasks, t)
-	if w.stageErr != nil {
+	if w.stageErr != nil && t.Stage >= w.stageErrFrom {
 		return nil, w.stageErr
 	}
 	var out []stagework.Result
--- a/internal/app/forward/forward.go
+++ b/internal/app/forward/forward.go
@@ -210,10 +210,14 @@
 	ctx, cancel := context.WithDeadline(ctx, x.begin.Add(-x.plan.last))
 	defer cancel()
 	in, err := f.runStages(ctx, x)
-	if err != nil && x.stageRuns == 1 && core.AsError(err, "stage").Kind == core.Conflict && f.now().Add(x.plan.total).Before(x.begin) {
+	if e := core.AsError(err, "stage"); err != nil && x.stageRuns == 1 && e.Kind == core.Conflict {
 		// The endpoint that kept a result is gone: make the results again.
-		x.stageRuns++
-		in, err = f.runStages(ctx, x)
+		again := f.now().Add(x.plan.total).Before(x.begin)
+		f.events.Again(x.req, x.pool, "results of stages are gone", again, e)
+		if again {
+			x.stageRuns++
+			in, err = f.runStages(ctx, x)
+		}
 	}
 	x.inputs = in
 	x.out.StageTime = f.now().Sub(x.req.Arrived)
--- a/internal/app/forward/forward_test.go
+++ b/internal/app/forward/forward_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"strings"
 	"testing"
 	"time"
 
@@ -383,3 +384,15 @@
 		t.Error("ranks out of bounds")
 	}
 }
+
+// Guards against a stage whose inputs are gone and of which the log does not say
+// whose results they were: an operator could not tell the cause.
+func TestAStageWithoutItsInputsNamesTheirMakers(t *testing.T) {
+	start(t, 1, func(w *world) {
+		w.stageErr, w.stageErrFrom = &core.Error{Kind: core.Conflict, Step: "stage", Ran: core.RanNot, Detail: "an input is gone"}, 1
+		got := w.ask(context.Background(), "staged", func(r *Request) { r.Pieces, r.PieceKey = []int{2, 1}, "pk" })
+		if got.err == nil || !strings.Contains(got.err.Detail, "an input is gone; inputs made by m, the oldest 100 ms ago") {
+			t.Errorf("error %v", got.err)
+		}
+	})
+}
--- a/internal/app/forward/stages.go
+++ b/internal/app/forward/stages.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"fmt"
 	"slices"
+	"strings"
 	"sync"
 	"time"
 
@@ -66,6 +68,7 @@
 	r := x.route
 	in := &inputs{stages: f.stages, held: map[core.PoolID][]stagework.Result{}, dc: map[core.DataCenterID]int{}}
 	results := make([][]stagework.Result, len(r.Stages))
+	made := make([]time.Time, len(r.Stages))
 	done := make([]chan struct{}, len(r.Stages))
 	// users counts the stages that take each stage's results; left those that
 	// have not done so yet.
@@ -95,9 +98,9 @@
 			}
 			out, err := f.stages.Run(gctx, t)
 			if err != nil {
-				return err
+				return f.nameInputs(err, r.Stages[i].After, results, made)
 			}
-			results[i] = out
+			results[i], made[i] = out, f.now()
 			in.hold(t.Pool, out)
 			close(done[i])
 			// What this stage took is free once no other stage takes it.
@@ -124,6 +127,28 @@
 	return in, nil
 }
 
+// nameInputs adds to the failure of a stage whose inputs are gone which endpoints
+// made them and when: an operator cannot tell the cause without that.
+func (f *Forwarder) nameInputs(err error, after []int, results [][]stagework.Result, made []time.Time) error {
+	e := core.AsError(err, "stage")
+	if e.Kind != core.Conflict {
+		return err
+	}
+	var makers []string
+	var oldest time.Duration
+	for _, a := range after {
+		oldest = max(oldest, f.now().Sub(made[a]))
+		for _, r := range results[a] {
+			if !slices.Contains(makers, string(r.Endpoint)) {
+				makers = append(makers, string(r.Endpoint))
+			}
+		}
+	}
+	named := *e
+	named.Detail = fmt.Sprintf("%s; inputs made by %s, the oldest %d ms ago", e.Detail, strings.Join(makers, ", "), oldest.Milliseconds())
+	return &named
+}
+
 // largeInputs is the size of inputs, in bytes, from which on it matters where
 // they are and how long they wait.
 const largeInputs = 64 << 10
--- a/internal/app/stagework/call.go
+++ b/internal/app/stagework/call.go
@@ -188,7 +188,7 @@
 		return
 	}
 	if it.task.freed {
-		p.end(it.task, &core.Error{Kind: core.Conflict, Step: "stage", Peer: cause.Peer, Ran: core.RanNot, Detail: "the call failed after its inputs were freed", Err: cause})
+		p.end(it.task, &core.Error{Kind: core.Conflict, Step: "stage", Peer: cause.Peer, Ran: core.RanNot, Detail: "the call failed after its inputs were freed: " + cause.Detail, Err: cause})
 		return
 	}
 	allowed := it.failures < maxFailures && (notRun || p.c.budget.Take(p.id, 1))
