Let eight daemons read the store and one side start each exchange

Each pair of daemons exchanged twice an interval, since either side started it. Ruled out: longer waits alone. The wait for the list bounds how long an outage goes unnoticed, and changes answer every wait however long it is. Change: the first eight daemons by rendezvous hashing read the store, as all did at 8 daemons; the others have their rows from them, and with the rows the end of the outage that they may lapse from. A status tells the version of a table's last change, not the store's version, so that a pull finds nothing only if there is nothing. Of two daemons the one before the other in the ring of addresses starts their exchange, the other one if it is overdue: 24 exchanges an interval at 62 daemons, 48 before.

--- a/internal/adapter/fleetrpc/convert.go
+++ b/internal/adapter/fleetrpc/convert.go
@@ -62,16 +62,23 @@
 	return out
 }
 
-func batchToPB(b mirror.Batch) *fleetpb.PullReply {
+func batchToPB(now time.Time, b mirror.Batch) *fleetpb.PullReply {
 	out := &fleetpb.PullReply{Version: b.Version, Full: b.Full}
+	if !b.OutageEnd.IsZero() {
+		ago := max(now.Sub(b.OutageEnd), 0).Microseconds()
+		out.OutageEndedUs = &ago
+	}
 	for _, r := range b.Rows {
 		out.Rows = append(out.Rows, &fleetpb.Row{Key: r.Key, Value: r.Value, Version: r.Version, Deleted: r.Deleted})
 	}
 	return out
 }
 
-func batchFromPB(b *fleetpb.PullReply) mirror.Batch {
+func batchFromPB(now time.Time, b *fleetpb.PullReply) mirror.Batch {
 	out := mirror.Batch{Version: b.GetVersion(), Full: b.GetFull()}
+	if b.OutageEndedUs != nil {
+		out.OutageEnd = now.Add(-time.Duration(b.GetOutageEndedUs()) * time.Microsecond)
+	}
 	for _, r := range b.GetRows() {
 		out.Rows = append(out.Rows, mirror.Row{Key: r.GetKey(), Value: r.GetValue(), Version: r.GetVersion(), Deleted: r.GetDeleted()})
 	}
--- a/internal/adapter/fleetrpc/fleetrpc.go
+++ b/internal/adapter/fleetrpc/fleetrpc.go
@@ -101,7 +101,7 @@
 	if err != nil {
 		return mirror.Batch{}, err
 	}
-	return batchFromPB(r), nil
+	return batchFromPB(c.now(), r), nil
 }
 
 // Submit implements stagework.Coordinators.
@@ -178,7 +178,7 @@
 	if t == nil {
 		return nil, status.Errorf(codes.NotFound, "table %q is not mirrored", r.GetTable())
 	}
-	return batchToPB(t.Since(r.GetAfter())), nil
+	return batchToPB(s.now(), t.Since(r.GetAfter())), nil
 }
 
 // Submit implements fleetpb.FleetServer.
--- a/internal/app/fleet/fleet.go
+++ b/internal/app/fleet/fleet.go
@@ -6,6 +6,7 @@
 import (
 	"cmp"
 	"context"
+	"maps"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -32,8 +33,15 @@
 	dropAfter = 2
 	// forgetAfter is how long a daemon that is in no list is still tried.
 	forgetAfter = time.Minute
-	// maxPeers bounds the daemons that one daemon exchanges with in an interval.
-	maxPeers = 24
+	// freshFor is how long a peer that was heard gets no exchange.
+	freshFor = 6 * interval / 10
+	// maxStarted bounds the exchanges that a daemon starts in an interval. It gets
+	// as many from others. maxPeers of them are planned for; the rest makes up for
+	// exchanges that fail.
+	maxStarted = 12
+	maxPeers   = 2*maxStarted - 4
+	// maxTold bounds the daemons that a status lists.
+	maxTold = 48
 	// maxKnown bounds the daemons that are remembered.
 	maxKnown = 1024
 )
@@ -73,7 +81,7 @@
 	// Incarnation is the daemon's start, Unix nanoseconds.
 	Incarnation int64
 	Leaving     bool
-	// Tables holds the version of each mirrored table.
+	// Tables holds the version of the last change of each mirrored table.
 	Tables   map[string]int64
 	Loads    []EndpointLoad
 	Waits    []PoolWait
@@ -100,10 +108,13 @@
 
 type peer struct {
 	// address is the key under which the peer is known; it does not change.
-	address  string
-	member   Member
-	status   *Status
-	heard    time.Time
+	address string
+	member  Member
+	status  *Status
+	heard   time.Time
+	// tried is when the last exchange was started that did not fail for the first
+	// time in a row.
+	tried    time.Time
 	added    time.Time
 	failures int
 	busy     bool
@@ -127,16 +138,20 @@
 
 	mu    sync.Mutex
 	peers map[string]*peer // by address
-	turn  int
 	// rounds counts the statuses that this daemon told.
 	rounds int
 }
 
+// turns returns the number of intervals in which each peer is due once. The
+// caller holds mu.
+func (f *Fleet) turns() time.Duration {
+	return time.Duration(max((len(f.peers)+maxPeers-1)/maxPeers, 1))
+}
+
 // silence returns how long a daemon may be silent and count as alive. The caller
 // holds mu.
 func (f *Fleet) silence() time.Duration {
-	turns := (len(f.peers) + maxPeers - 1) / maxPeers
-	return aliveFor + time.Duration(max(turns-1, 0))*interval*5/4
+	return aliveFor + (f.turns()-1)*interval*5/4
 }
 
 // Options of a Fleet.
@@ -214,36 +229,71 @@
 	f.refresh()
 }
 
-// due returns the peers to exchange with in this interval. Above maxPeers they
-// take turns.
+// due returns the peers to exchange with in this interval: those that were not
+// heard or tried for the longest time, at most maxStarted. An exchange tells both
+// sides, so one of each two daemons starts it; the other one does when that is
+// overdue.
 func (f *Fleet) due() []*peer {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	now := f.now()
+	starts := f.starts()
+	overdue := f.turns()*interval + interval/2
 	var list []*peer
 	for addr, p := range f.peers {
 		if !p.listed && now.Sub(p.added) > forgetAfter && now.Sub(p.heard) > forgetAfter {
 			delete(f.peers, addr)
 			continue
 		}
-		list = append(list, p)
-	}
-	slices.SortFunc(list, func(a, b *peer) int { return cmp.Compare(a.address, b.address) })
-	if len(list) > maxPeers {
-		at := f.turn % len(list)
-		f.turn += maxPeers
-		list = append(list[at:len(list):len(list)], list[:at]...)[:maxPeers]
+		wait := freshFor
+		if !starts[addr] {
+			wait = overdue
+		}
+		if !p.busy && now.Sub(p.last()) >= wait {
+			list = append(list, p)
+		}
 	}
-	var out []*peer
+	slices.SortFunc(list, func(a, b *peer) int {
+		if starts[a.address] != starts[b.address] {
+			if starts[a.address] {
+				return -1
+			}
+			return 1
+		}
+		return cmp.Or(a.last().Compare(b.last()), cmp.Compare(a.address, b.address))
+	})
+	list = list[:min(len(list), maxStarted)]
 	for _, p := range list {
-		if !p.busy {
-			p.busy = true
-			out = append(out, p)
+		p.busy, p.tried = true, now
+	}
+	return list
+}
+
+// starts returns the peers with which this daemon starts the exchanges: the half
+// of the daemons that follow it in the order of addresses, taken as a ring. Each
+// daemon so starts as many as the others. The caller holds mu.
+func (f *Fleet) starts() map[string]bool {
+	ring := append(slices.Collect(maps.Keys(f.peers)), f.self.Address)
+	slices.Sort(ring)
+	at, n := slices.Index(ring, f.self.Address), len(ring)
+	out := make(map[string]bool, n/2)
+	for i := 1; 2*i <= n; i++ {
+		// Of two daemons opposite each other the first starts.
+		if 2*i < n || at < n/2 {
+			out[ring[(at+i)%n]] = true
 		}
 	}
 	return out
 }
 
+// last returns when the peer was last heard or tried.
+func (p *peer) last() time.Time {
+	if p.tried.After(p.heard) {
+		return p.tried
+	}
+	return p.heard
+}
+
 func (f *Fleet) exchange(ctx context.Context, p *peer, s *Status) {
 	call, cancel := context.WithTimeout(ctx, exchangeTimeout)
 	reply, err := f.transport.Exchange(call, p.address, s)
@@ -252,7 +302,11 @@
 	p.busy = false
 	drop := false
 	if err != nil {
-		p.failures++
+		if p.failures++; p.failures == 1 {
+			// A single exchange may fail for a lost packet: the next one is not put behind
+			// those with all other peers.
+			p.tried = time.Time{}
+		}
 		drop = p.failures%dropAfter == 0
 	} else {
 		p.failures = 0
@@ -282,7 +336,7 @@
 		return s
 	}
 	for _, p := range f.peers {
-		if p.alive && len(s.Known) < maxPeers {
+		if p.alive && len(s.Known) < maxTold {
 			s.Known = append(s.Known, p.member)
 		}
 	}
--- a/internal/app/fleet/fleet_test.go
+++ b/internal/app/fleet/fleet_test.go
@@ -18,14 +18,18 @@
 	mu     sync.Mutex
 	fleets map[string]*Fleet
 	cut    map[string]bool
-	drops  atomic.Int32
+	// mute holds the addresses whose own exchanges reach nothing.
+	mute      map[string]bool
+	drops     atomic.Int32
+	exchanges atomic.Int32
 }
 
 func (n *network) Exchange(ctx context.Context, address string, s *Status) (*Status, error) {
 	time.Sleep(5 * time.Millisecond)
 	n.mu.Lock()
-	f, cut := n.fleets[address], n.cut[address] || n.cut[s.Member.Address]
+	f, cut := n.fleets[address], n.cut[address] || n.cut[s.Member.Address] || n.mute[s.Member.Address]
 	n.mu.Unlock()
+	n.exchanges.Add(1)
 	if cut || f == nil {
 		<-ctx.Done()
 		return nil, ctx.Err()
@@ -47,6 +51,12 @@
 	n.cut[address] = cut
 }
 
+func (n *network) oneWay(address string, mute bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.mute[address] = mute
+}
+
 type noEvents struct{}
 
 func (noEvents) PeerAlive(Member)               {}
@@ -60,7 +70,7 @@
 func start(t *testing.T, n int, f func(*network, []*Fleet)) {
 	synctest.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(t.Context())
-		net := &network{fleets: map[string]*Fleet{}, cut: map[string]bool{}}
+		net := &network{fleets: map[string]*Fleet{}, cut: map[string]bool{}, mute: map[string]bool{}}
 		var list []*Fleet
 		for i := range n {
 			x := New(Options{Self: member(i), Transport: net, Events: noEvents{}, OnStatus: func(*Status) {}, Now: time.Now,
@@ -109,7 +119,7 @@
 // Pattern: more daemons than one exchanges with in an interval. They must not
 // count as lost because their turn has not come.
 func TestManyDaemonsStayAlive(t *testing.T) {
-	start(t, 6*maxPeers, func(_ *network, list []*Fleet) {
+	start(t, 144, func(_ *network, list []*Fleet) {
 		time.Sleep(3 * time.Second)
 		for range 4 {
 			time.Sleep(300 * time.Millisecond)
@@ -122,6 +132,36 @@
 	})
 }
 
+// Guards against exchanges that both sides start: one tells both, and at hundreds
+// of daemons the exchanges are most of what a daemon spends on control.
+func TestOneOfTwoDaemonsStartsTheirExchange(t *testing.T) {
+	start(t, 8, func(net *network, list []*Fleet) {
+		time.Sleep(2 * time.Second)
+		before := net.exchanges.Load()
+		time.Sleep(3 * time.Second)
+		pairs := int32(len(list) * (len(list) - 1) / 2)
+		if n, most := net.exchanges.Load()-before, 11*pairs; n > most {
+			t.Errorf("%d exchanges in ten intervals, at most %d for %d pairs", n, most, pairs)
+		}
+	})
+}
+
+// Guards against two daemons that lose each other because the one that starts
+// their exchanges cannot reach the other, though the other can reach it.
+func TestTheOtherSideStartsAnOverdueExchange(t *testing.T) {
+	start(t, 2, func(net *network, list []*Fleet) {
+		for i, f := range list {
+			net.oneWay(member(i).Address, true)
+			time.Sleep(4 * time.Second)
+			if got := alive(f); got != "d0 d1 " {
+				t.Errorf("d%d reaches nothing but is reached, and sees %s", i, got)
+			}
+			net.oneWay(member(i).Address, false)
+			time.Sleep(time.Second)
+		}
+	})
+}
+
 // Guards against a daemon that is cut off and still counts as alive, or that is
 // not found again; work waits on it until then.
 func TestALostDaemonIsNoticedAndFoundAgain(t *testing.T) {
--- a/internal/app/mirror/mirror.go
+++ b/internal/app/mirror/mirror.go
@@ -48,6 +48,10 @@
 	Version int64
 	// Full says that rows which are missing from the batch do not exist.
 	Full bool
+	// OutageEnd is, in a batch of another daemon, when the store last came back to
+	// it after an outage: the time of the pull if it has not, the zero time if
+	// there was none.
+	OutageEnd time.Time
 }
 
 // Store reads tables of the platform's store.
@@ -61,7 +65,8 @@
 
 // Peers reads the copies of other daemons.
 type Peers interface {
-	// Newest returns the highest version that a live daemon has of the table.
+	// Newest returns the version of the last change of the table that a live daemon
+	// knows.
 	Newest(table string) int64
 	// Pull returns what a daemon that has the newest version knows beyond after.
 	Pull(ctx context.Context, table string, after int64) (Batch, error)
@@ -71,6 +76,9 @@
 type Snapshot struct {
 	Rows    map[string]Row
 	Version int64
+	// Changed is the version of the last change that the copy knows. Version grows
+	// with other tables' changes too.
+	Changed int64
 }
 
 // Table is the copy of one table.
@@ -87,6 +95,10 @@
 
 	storeOK   atomic.Bool
 	recovered atomic.Int64 // Unix nanoseconds of the last return of the store
+	// told is the end of an outage that another daemon told, Unix nanoseconds, and
+	// asks says that this daemon reads the store itself.
+	told atomic.Int64
+	asks atomic.Bool
 }
 
 // NewTable returns an empty copy. changed may be nil.
@@ -97,6 +109,7 @@
 	t := &Table{name: name, changed: changed}
 	t.snap.Store(&Snapshot{Rows: map[string]Row{}})
 	t.storeOK.Store(true)
+	t.asks.Store(true)
 	return t
 }
 
@@ -109,13 +122,20 @@
 // StoreOK says whether the last call to the store succeeded.
 func (t *Table) StoreOK() bool { return t.storeOK.Load() }
 
-// Recovered returns when the store last answered again after a failure, or the
-// zero time.
-func (t *Table) Recovered() time.Time {
-	if ns := t.recovered.Load(); ns != 0 {
-		return time.Unix(0, ns)
+// OutageEnd returns when the store last came back after an outage: now if it has
+// not, the zero time if there was none. A daemon that does not read the store
+// itself goes by what the daemon told from which it has its rows.
+func (t *Table) OutageEnd(now time.Time) time.Time {
+	ns := t.recovered.Load()
+	if !t.asks.Load() {
+		ns = t.told.Load()
+	} else if !t.storeOK.Load() {
+		return now
 	}
-	return time.Time{}
+	if ns == 0 {
+		return time.Time{}
+	}
+	return time.Unix(0, ns)
 }
 
 // Apply takes in a batch and says whether the copy changed. A batch that is
@@ -127,12 +147,13 @@
 	if b.Version < old.Version || (b.Version == old.Version && len(old.Rows) > 0) {
 		return false
 	}
-	next := &Snapshot{Version: b.Version, Rows: make(map[string]Row, len(old.Rows)+len(b.Rows))}
+	next := &Snapshot{Version: b.Version, Changed: old.Changed, Rows: make(map[string]Row, len(old.Rows)+len(b.Rows))}
 	if !b.Full {
 		maps.Copy(next.Rows, old.Rows)
 	}
 	changed := b.Full && old.Version == 0
 	for _, r := range b.Rows {
+		next.Changed = max(next.Changed, r.Version)
 		if was, ok := old.Rows[r.Key]; !ok || was.Version < r.Version {
 			changed = true
 		} else if b.Full {
@@ -152,6 +173,7 @@
 		for key, r := range old.Rows {
 			if _, ok := next.Rows[key]; !ok {
 				changed = true
+				next.Changed = b.Version
 				t.bury(Row{Key: key, Version: max(r.Version, b.Version), Deleted: true})
 			}
 		}
@@ -163,6 +185,13 @@
 	return changed
 }
 
+// tell notes the end of an outage that another daemon told.
+func (t *Table) tell(end time.Time) {
+	if !end.IsZero() && end.UnixNano() > t.told.Load() {
+		t.told.Store(end.UnixNano())
+	}
+}
+
 func (t *Table) bury(r Row) {
 	r.Value = nil
 	t.tombstones = append(t.tombstones, r)
@@ -178,7 +207,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	s := t.snap.Load()
-	b := Batch{Version: s.Version, Full: after == 0 || after < t.forgotten}
+	b := Batch{Version: s.Version, Full: after == 0 || after < t.forgotten, OutageEnd: t.OutageEnd(time.Now())}
 	for _, r := range s.Rows {
 		if b.Full || r.Version > after {
 			b.Rows = append(b.Rows, r)
@@ -212,6 +241,9 @@
 	Wait time.Duration
 	// IdleWait replaces Wait on daemons that are no readers; 0 keeps Wait.
 	IdleWait time.Duration
+	// Asks says whether this daemon reads the store at all; nil means that it does.
+	// The others have their rows from those that do.
+	Asks func() bool
 	// FollowPeers says that a newer version at a peer is fetched at once, not only
 	// while the store fails.
 	FollowPeers bool
@@ -234,6 +266,12 @@
 	go f.followPeers(ctx)
 	var lost time.Time
 	for ctx.Err() == nil {
+		asks := f.Asks == nil || f.Asks()
+		f.Table.asks.Store(asks)
+		if !asks && f.Table.Snapshot().Version > 0 {
+			sleep(ctx, peerPoll)
+			continue
+		}
 		began := time.Now()
 		err := f.step(ctx, !lost.IsZero())
 		switch {
@@ -303,10 +341,11 @@
 		b, err := f.Peers.Pull(call, f.Table.name, have)
 		cancel()
 		if err == nil {
+			f.Table.tell(b.OutageEnd)
 			f.Table.Apply(b)
 		}
-		if len(b.Rows) == 0 {
-			// The version grows with other tables too, or the peer does not answer.
+		if err != nil || f.Table.Snapshot().Version == have {
+			// The peer does not answer, or it has forgotten what it knew.
 			again = time.Now().Add(emptyPause)
 		}
 	}
--- a/internal/app/mirror/mirror_test.go
+++ b/internal/app/mirror/mirror_test.go
@@ -137,7 +137,7 @@
 
 func (p *peers) Newest(string) int64 {
 	if t := p.table.Load(); t != nil {
-		return t.Snapshot().Version
+		return t.Snapshot().Changed
 	}
 	return 0
 }
@@ -183,7 +183,7 @@
 		if got := keys(table.Snapshot()); got != "a1 b2 " {
 			t.Errorf("a second after its return: %s", got)
 		}
-		if e.lost.Load() != 1 || e.regained.Load() != 1 || table.Recovered().IsZero() {
+		if e.lost.Load() != 1 || e.regained.Load() != 1 || table.OutageEnd(time.Now()).IsZero() {
 			t.Errorf("told %d losses and %d returns", e.lost.Load(), e.regained.Load())
 		}
 	})
@@ -226,7 +226,7 @@
 		s.mu.Unlock()
 		back := time.Now()
 		time.Sleep(5 * time.Second)
-		if late := table.Recovered().Sub(back); !table.StoreOK() || late > time.Second {
+		if late := table.OutageEnd(time.Now()).Sub(back); !table.StoreOK() || late > time.Second {
 			t.Errorf("the store's return was noticed after %v", late)
 		}
 		cancel()
@@ -280,3 +280,74 @@
 		}
 	})
 }
+
+// Pattern: a fleet of which most daemons do not read the store. They must not
+// spend calls, hear of a change from those that do, and read the store themselves
+// when it becomes their turn.
+func TestADaemonThatDoesNotAskHearsFromPeers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		s, p, table, watcher := &store{}, &peers{}, NewTable("t", nil), NewTable("t", nil)
+		s.put(row("a", 1))
+		p.table.Store(watcher)
+		var asks atomic.Bool
+		go (&Follower{Table: table, Store: s, Peers: p, Events: &events{}, Wait: time.Second, FollowPeers: true, Asks: asks.Load}).Run(ctx)
+		time.Sleep(100 * time.Millisecond)
+		if got := keys(table.Snapshot()); got != "a1 " {
+			t.Errorf("after the start: %s", got)
+		}
+		s.mu.Lock()
+		before := s.calls
+		s.mu.Unlock()
+		for v := int64(2); v < 6; v++ {
+			watcher.Apply(Batch{Rows: []Row{row("a", v)}, Version: v, Full: true})
+			time.Sleep(300 * time.Millisecond)
+			if got := table.Snapshot().Version; got != v {
+				t.Errorf("0.3 s after version %d: %d", v, got)
+			}
+			// The store's version grows with other tables: nothing is new, and the next
+			// change must not wait for that.
+			watcher.Apply(Batch{Version: v})
+			time.Sleep(time.Second)
+		}
+		s.mu.Lock()
+		if n := s.calls - before; n != 0 {
+			t.Errorf("%d calls of the store", n)
+		}
+		s.mu.Unlock()
+		asks.Store(true)
+		s.put(row("b", 9))
+		time.Sleep(500 * time.Millisecond)
+		if got := keys(table.Snapshot()); got != "a5 b9 " {
+			t.Errorf("half a second after its turn came: %s", got)
+		}
+		cancel()
+	})
+}
+
+// Guards against entries that lapsed in an outage and count as removed for a
+// daemon that does not read the store, and against a grace without an outage.
+func TestAnOutageIsToldWithTheRows(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		p, table, watcher := &peers{}, NewTable("t", nil), NewTable("t", nil)
+		p.table.Store(watcher)
+		watcher.Apply(Batch{Rows: []Row{row("a", 1), row("b", 2)}, Version: 2, Full: true})
+		table.Apply(watcher.Since(0))
+		go (&Follower{Table: table, Store: &store{down: true}, Peers: p, Events: &events{}, Wait: time.Second, FollowPeers: true,
+			Asks: func() bool { return false }}).Run(ctx)
+		watcher.Apply(Batch{Rows: []Row{{Key: "a", Version: 3, Deleted: true}}, Version: 3})
+		time.Sleep(time.Second)
+		if end := table.OutageEnd(time.Now()); keys(table.Snapshot()) != "b2 " || !end.IsZero() {
+			t.Errorf("copy %s, an outage that ended at %v", keys(table.Snapshot()), end)
+		}
+		watcher.recovered.Store(time.Now().UnixNano())
+		back := time.Now()
+		watcher.Apply(Batch{Rows: []Row{{Key: "b", Version: 4, Deleted: true}}, Version: 4})
+		time.Sleep(time.Second)
+		if end := table.OutageEnd(time.Now()); keys(table.Snapshot()) != "" || !end.Equal(back) {
+			t.Errorf("copy %s, an outage that ended at %v, want %v", keys(table.Snapshot()), end, back)
+		}
+		cancel()
+	})
+}
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -40,10 +40,15 @@
 	// configWait is how long a read of the configuration waits for a change. It
 	// bounds how long a silent connection hides one.
 	configWait = 2 * time.Second
-	// idleWait is the wait of daemons that are no readers: they hear of a newer
+	// idleWait is the wait of watchers that are no readers: they hear of a newer
 	// version from peers at once.
 	idleWait = 20 * time.Second
-	// readers is the number of daemons with the short waits. With two, a slow link
+	// watchers is the number of daemons that read the store; the others hear from
+	// them. Each change of a table answers the waiting call of each watcher, so all
+	// daemons of a large fleet would spend calls with the square of their number.
+	// Eight serve also while the store turns a third of the daemons away.
+	watchers = 8
+	// readers is the number of watchers with the short waits. With two, a slow link
 	// of one of them does not delay a change everywhere.
 	readers = 2
 	// listWait is the same for the list of endpoints: a leaving endpoint may get
@@ -138,7 +143,7 @@
 func (d *Daemon) status() *fleet.Status {
 	s := &fleet.Status{Tables: map[string]int64{}, Loads: d.forward.Loads(), Suspects: d.forward.Suspects()}
 	for _, t := range []*mirror.Table{d.config, d.list, d.daemons} {
-		s.Tables[t.Name()] = t.Snapshot().Version
+		s.Tables[t.Name()] = t.Snapshot().Changed
 	}
 	for pool, w := range d.coord.Waits() {
 		s.Waits = append(s.Waits, fleet.PoolWait{Pool: pool, Wait: w})
@@ -173,12 +178,7 @@
 func (d *Daemon) listChanged(s *mirror.Snapshot) {
 	list, skipped := platform.Endpoints(s)
 	d.tel.EntriesSkipped(skipped)
-	outageEnd := d.list.Recovered()
-	if !d.list.StoreOK() {
-		// The list came from a peer: the store may have returned just now.
-		outageEnd = time.Now()
-	}
-	d.set.Update(list, outageEnd)
+	d.set.Update(list, d.list.OutageEnd(time.Now()))
 }
 
 func (d *Daemon) endpointsChanged(v *endpoints.View, changes []endpoints.Change) {
@@ -282,7 +282,10 @@
 		{Table: d.list, Wait: listWait, IdleWait: d.listIdleWait()},
 		{Table: d.daemons, Wait: daemonWait, IdleWait: idleWait},
 	} {
-		f.Store, f.Peers, f.Events, f.Reader, f.FollowPeers = d.store, peers, d.tel, d.reader, true
+		f.Store, f.Peers, f.Events, f.FollowPeers = d.store, peers, d.tel, true
+		// A daemon that stops ranks nowhere; if all stop at once, each asks.
+		f.Asks = func() bool { return d.stopping.Load() || d.ranks(watchers) }
+		f.Reader = func() bool { return d.ranks(readers) }
 		go f.Run(ctx)
 	}
 }
@@ -294,11 +297,11 @@
 	return min(max(lapse-lapseMargin, listWait), idleWait)
 }
 
-// reader says whether this daemon has the short waits. All daemons agree on the
-// readers as long as they see the same daemons alive.
-func (d *Daemon) reader() bool {
+// ranks says whether this daemon is among the first n for reading the store. All
+// daemons agree on them as long as they see the same daemons alive.
+func (d *Daemon) ranks(n int) bool {
 	ranked := d.fleet.View().Ranked(daemonTable)
-	for _, m := range ranked[:min(readers, len(ranked))] {
+	for _, m := range ranked[:min(n, len(ranked))] {
 		if string(m.ID) == d.s.Instance {
 			return true
 		}
