End a silent stream with its time, and take no pause for a stall

When the time ended, the reader of the body chose at random between handing over the error and ending silently; in the second case the caller was held until it left, and the endpoint's place stayed taken for good. Ruled out: the proxies (the daemon's log has no last line for the request), and the stand-in, which had sent its events. Change: the wait ends with the request; a timer that fires 200 ms late or more gives what came in the pause 300 ms to be read. Tests: TestASilentStreamEndsWithItsTime (a deadlock without the change), TestAPauseIsNoStall.

--- a/internal/app/forward/stream.go
+++ b/internal/app/forward/stream.go
@@ -17,6 +17,10 @@
 	// least, is when a stream that may be resumed is taken to another endpoint.
 	stallFactor = 6
 	stallBase   = 1500 * time.Millisecond
+	// lateTimer is how late a timer fires where the process was paused, and not only
+	// busy. What an endpoint sent meanwhile is read within pauseGrace.
+	lateTimer  = 200 * time.Millisecond
+	pauseGrace = 300 * time.Millisecond
 	// maxPartial bounds the part of an event that is kept until its rest comes.
 	maxPartial = 1 << 20
 )
@@ -90,7 +94,13 @@
 // next returns the next chunk, or false if the stream stalls and may be resumed.
 func (s *stream) next(ctx context.Context, chunks <-chan chunk, resumable bool) (chunk, bool) {
 	if !resumable {
-		return <-chunks, true
+		// The reader of the body ends without a word when ctx has ended.
+		select {
+		case c := <-chunks:
+			return c, true
+		case <-ctx.Done():
+			return chunk{err: ctx.Err()}, true
+		}
 	}
 	limit := max(stallFactor*s.x.route.GapTarget, stallBase)
 	if s.last == "" {
@@ -99,13 +109,20 @@
 	}
 	t := time.NewTimer(limit)
 	defer t.Stop()
-	select {
-	case c := <-chunks:
-		return c, true
-	case <-t.C:
-		return chunk{}, false
-	case <-ctx.Done():
-		return chunk{err: ctx.Err()}, true
+	for end := s.f.now().Add(limit); ; {
+		select {
+		case c := <-chunks:
+			return c, true
+		case <-t.C:
+			now := s.f.now()
+			if now.Sub(end) < lateTimer {
+				return chunk{}, false
+			}
+			end = now.Add(pauseGrace)
+			t.Reset(pauseGrace)
+		case <-ctx.Done():
+			return chunk{err: ctx.Err()}, true
+		}
 	}
 }
 
