Count only running time before the listener closes at a stop

Ruled out: connections after the balancer had noticed; these were sent within 2 s of SIGTERM. Change: time in which the process did not run does not count. Test: TestAPauseDoesNotShortenTheStop.

--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -116,7 +116,7 @@
 	d.tel = telemetry.NewHosted(log, d.metrics, s.Log.LinesPerS)
 	d.store = platform.NewStore(s.Store)
 	d.rpc = fleetrpc.NewClient(time.Now)
-	self := fleet.Member{ID: core.InstanceID(s.Instance), Address: s.Listen.Peers, DataCenter: core.DataCenterID(s.DataCenter)}
+	self := fleet.Member{ID: core.InstanceID(s.Instance), Address: s.Listen.AdvertisePeers, DataCenter: core.DataCenterID(s.DataCenter)}
 	d.fleet = fleet.New(fleet.Options{Self: self, Transport: d.rpc, Source: d.status, Events: d.tel, OnStatus: d.learn, Now: time.Now})
 	d.budgets = newBudgets(repeats.Limits{Ratio: s.Repeats.Ratio, Slack: s.Repeats.Slack, Window: seconds(s.Repeats.WindowS)}, d.sharers)
 	calls := platform.NewEndpointClient(time.Now)
@@ -311,7 +311,7 @@
 
 // register lists the daemon in the store.
 func (d *Daemon) register(ctx context.Context) {
-	row, err := json.Marshal(daemonRow{Address: d.s.Listen.Peers, DataCenter: d.s.DataCenter})
+	row, err := json.Marshal(daemonRow{Address: d.s.Listen.AdvertisePeers, DataCenter: d.s.DataCenter})
 	for err == nil && ctx.Err() == nil {
 		call, cancel := context.WithTimeout(ctx, 2*time.Second)
 		err := d.store.Put(call, daemonTable, d.s.Instance, row)
@@ -406,9 +406,21 @@
 			d.log.Warn().Err(err).Msg("deregistration_failed")
 		}
 	}()
-	time.Sleep(lingerTime)
+	linger(ctx, lingerTime, time.Now, time.Sleep)
 	if err := callers.Shutdown(ctx); err != nil {
 		d.log.Warn().Int("in_progress", d.forward.Active()).Err(err).Msg("requests_cut")
 	}
 	d.log.Info().Int64("took_ms", time.Since(began).Milliseconds()).Msg("stopped")
 }
+
+// linger waits until the process has run for d or ctx has ended. Time in which the
+// process was paused does not count: connections that came meanwhile are still
+// waiting, and closing the listener would reset them.
+func linger(ctx context.Context, d time.Duration, now func() time.Time, sleep func(time.Duration)) {
+	const step = 50 * time.Millisecond
+	for ran := time.Duration(0); ran < d && ctx.Err() == nil; {
+		began := now()
+		sleep(step)
+		ran += min(now().Sub(began), 2*step)
+	}
+}
--- a/internal/edge/shared_test.go
+++ b/internal/edge/shared_test.go
@@ -1,6 +1,7 @@
 package edge
 
 import (
+	"context"
 	"testing"
 	"time"
 
@@ -45,3 +46,22 @@
 		t.Errorf("one of 8 daemons may repeat %d calls, a single one %d, of %g", part, all, limits.Slack)
 	}
 }
+
+// Guards against a daemon that was paused while it stops and closes its listener
+// at once when it wakes: connections that came in the pause are reset.
+func TestAPauseDoesNotShortenTheStop(t *testing.T) {
+	now := time.Unix(1000, 0)
+	began, sleeps := now, 0
+	linger(context.Background(), lingerTime, func() time.Time { return now }, func(d time.Duration) {
+		if sleeps++; sleeps == 3 {
+			d += 10 * time.Second
+		}
+		now = now.Add(d)
+	})
+	if ran := now.Sub(began) - 10*time.Second; ran < lingerTime-200*time.Millisecond {
+		t.Errorf("served for %v beside the pause, want %v", ran, lingerTime)
+	}
+	ended, cancel := context.WithCancel(context.Background())
+	cancel()
+	linger(ended, lingerTime, time.Now, func(time.Duration) { t.Error("waits after the time to stop is over") })
+}
--- a/internal/settings/hosted.go
+++ b/internal/settings/hosted.go
@@ -40,6 +40,9 @@
 	Ready string `json:"ready"`
 	// Peers serves other daemons.
 	Peers string `json:"peers"`
+	// AdvertisePeers is the address at which other daemons reach Peers, where that
+	// differs: behind address translation or a proxy. Default: Peers.
+	AdvertisePeers string `json:"advertise_peers,omitempty"`
 	// Metrics serves counters and histograms as text. Default: none.
 	Metrics string `json:"metrics,omitempty"`
 }
@@ -91,6 +94,9 @@
 	if h.EndpointHeartbeatMs == 0 {
 		h.EndpointHeartbeatMs = defaultHeartbeatMs
 	}
+	if h.Listen.AdvertisePeers == "" {
+		h.Listen.AdvertisePeers = h.Listen.Peers
+	}
 	if h.Log.LinesPerS == 0 {
 		h.Log.LinesPerS = defaultLinesPerS
 	}
@@ -108,7 +114,8 @@
 		return doc.Errorf("data_center", "no value", "the name of a data centre")
 	}
 	addresses := []struct{ key, addr string }{
-		{"listen.callers", h.Listen.Callers}, {"listen.ready", h.Listen.Ready}, {"listen.peers", h.Listen.Peers}, {"store", h.Store},
+		{"listen.callers", h.Listen.Callers}, {"listen.ready", h.Listen.Ready}, {"listen.peers", h.Listen.Peers},
+		{"listen.advertise_peers", h.Listen.AdvertisePeers}, {"store", h.Store},
 	}
 	if h.Listen.Metrics != "" {
 		addresses = append(addresses, struct{ key, addr string }{"listen.metrics", h.Listen.Metrics})
--- a/internal/settings/hosted_test.go
+++ b/internal/settings/hosted_test.go
@@ -19,7 +19,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	if h.StopWithinS != 8 || h.Log.LinesPerS != 200 || h.Peers[0] != "10.0.0.2:3" {
+	if h.StopWithinS != 8 || h.Log.LinesPerS != 200 || h.Peers[0] != "10.0.0.2:3" || h.Listen.AdvertisePeers != "10.0.0.1:3" {
 		t.Errorf("settings %+v", h)
 	}
 }
@@ -31,6 +31,7 @@
 		{`"instance": "d1"`, `"instance": ""`, "instance"},
 		{`"data_center": "a"`, `"data_center": ""`, "data_center"},
 		{`"10.0.0.1:2"`, `"host:2"`, "listen.ready"},
+		{`"peers": "10.0.0.1:3"`, `"peers": "10.0.0.1:3", "advertise_peers": "there"`, "listen.advertise_peers"},
 		{`"store": "10.0.0.9:1"`, `"store": "10.0.0.9"`, "store"},
 		{`["10.0.0.2:3"]`, `["x"]`, "peers[0]"},
 		{`"cores": 1`, `"cores": 0`, "cores"},
