--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,4 @@
-.PHONY: build test demo up down bench generate lint
+.PHONY: build test soak demo up down bench generate lint
 
 build:
 	go build -o bin/ ./cmd/...
@@ -13,6 +13,10 @@
 	go test ./...
 	@test ! -f KNOWN-RED.txt || sed -n 's/^test: /known red, passed over: /p' KNOWN-RED.txt
 
+# Fresh seeds for some minutes; SEEDS=N for another number.
+soak:
+	go test ./platform/soak -run TestSoak -count=1 -timeout 60m -parallel 4 -soak.seed 0 -soak.seeds $(or $(SEEDS),24)
+
 generate:
 	./scripts/generate
 
