Let pieces wait for room, and keep half of the repeats for failures

Ruled out: the pause after 'no room', which let small results pass on purpose; the endpoint, which was full. Change: until the pause ends an endpoint gets no result as large as one it had no room for; a piece without room waits until its time is over; a call that worked on nothing says nothing of speed. Repeats of slow calls leave half of the allowance.

--- a/internal/app/stagework/call.go
+++ b/internal/app/stagework/call.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -160,7 +161,7 @@
 		if it.finished || it.queued || it.task.ended || it.running != 1 || it.task.freed {
 			continue
 		}
-		allowed := p.c.budget.Take(p.id, 1)
+		allowed := p.c.budget.TakeSpare(p.id, 1)
 		p.c.events.PieceRepeated(it.task.Task, "call takes too long", allowed)
 		if allowed {
 			it.queued = true
@@ -203,7 +204,8 @@
 
 func (p *pool) finished(c *call, outcomes []Outcome, took time.Duration) {
 	now := p.c.now()
-	if c.replica.succeed(now, took, p.expected(len(c.items))) {
+	worked := slices.ContainsFunc(outcomes, func(o Outcome) bool { return o.Reason == Done })
+	if c.replica.succeed(now, took, p.expected(len(c.items)), worked) {
 		p.c.events.EndpointHealth(p.id, c.replica.entry.ID, false, "")
 	}
 	for i, it := range c.items {
@@ -234,8 +236,8 @@
 	case o.Reason == Expired:
 		p.end(it.task, &core.Error{Kind: core.DeadlineExceeded, Step: "stage", Peer: peer, Ran: core.RanNot, Detail: "the time was over when the stage's turn came"})
 	case o.Reason == NoRoom:
-		c.replica.fullUntil = now.Add(fullPause)
-		it.failures++
+		c.replica.full(now, it.Bytes)
+		// The piece waits for room until its time is over.
 		p.again(it, true, "no room for the result", &core.Error{Kind: core.Unavailable, Peer: peer, Detail: "no room for results"})
 	default:
 		it.failures++
--- a/internal/app/stagework/coordinator_test.go
+++ b/internal/app/stagework/coordinator_test.go
@@ -136,6 +136,65 @@
 	})
 }
 
+// Pattern: an endpoint that is slow for long. Calls that are made again only for
+// that must not spend the repeats without which a failed piece fails its request.
+func TestSlowCallsLeaveRepeatsForFailedOnes(t *testing.T) {
+	run(t, 3, func(w *world, c *Coordinator) {
+		a := c.budget.(*allowance)
+		a.left, a.spare = 8, 4
+		w.machines["m0"].factor, w.machines["m1"].factor, w.machines["m2"].factor = 3, 3, 3
+		var wg sync.WaitGroup
+		for i := range 15 {
+			wg.Go(func() {
+				if _, err := c.Submit(w.t.Context(), 0, newTask(fmt.Sprint("r", i), 2, 0, 10*time.Second, 20*time.Second)); err != nil {
+					t.Errorf("task %d: %v", i, err)
+				}
+			})
+		}
+		wg.Wait()
+		if a.left < 4 || a.spare > 0 {
+			t.Errorf("%d of 8 repeats and %d of 4 spare ones are left", a.left, a.spare)
+		}
+		w.fail = func(_ Piece, n int) Reason {
+			if n == 1 {
+				return Failed
+			}
+			return Done
+		}
+		if _, err := c.Submit(w.t.Context(), 0, newTask("failing", 4, 0, 10*time.Second, 20*time.Second)); err != nil {
+			t.Errorf("pieces that fail once: %v", err)
+		}
+	})
+}
+
+// Pattern: the only endpoint of a group has no room even for small results, and
+// says so at once. Pieces must wait for room; they were sent again each 2 ms until
+// their tries were spent, and the endpoint counted as 100 times faster than it is.
+func TestPiecesWaitForRoom(t *testing.T) {
+	run(t, 1, func(w *world, c *Coordinator) {
+		m := w.machines["m0"]
+		m.room = 0
+		time.AfterFunc(time.Second, func() {
+			w.mu.Lock()
+			defer w.mu.Unlock()
+			m.room = 1 << 30
+		})
+		if _, err := c.Submit(w.t.Context(), 0, newTask("r", 4, 0, 3*time.Second, 5*time.Second)); err != nil {
+			t.Errorf("a task that room came for: %v", err)
+		}
+		if n, most := len(m.calls), int(time.Second/fullPause)+3; n > most {
+			t.Errorf("%d calls, at most %d in a second without room", n, most)
+		}
+	})
+	r := newReplica(endpoints.Entry{})
+	for range 5 {
+		r.succeed(time.Unix(1000, 0), 2*time.Millisecond, 300*time.Millisecond, false)
+	}
+	if r.slow != 1 {
+		t.Errorf("answers without work made the endpoint's factor %v", r.slow)
+	}
+}
+
 // Guards against tasks that fail because an endpoint accepts no connections.
 func TestADeadEndpointCostsNoTask(t *testing.T) {
 	run(t, 3, func(w *world, c *Coordinator) {
--- a/internal/app/stagework/pool.go
+++ b/internal/app/stagework/pool.go
@@ -164,7 +164,7 @@
 func (p *pool) start(now time.Time, r *replica, sorted []*item) {
 	room := r.room(now, int(roomShare*float64(p.limits.ResultRoom)))
 	if now.Before(r.fullUntil) {
-		room = min(room, p.limits.ResultRoom/fullShare)
+		room = min(room, p.limits.ResultRoom/fullShare, r.refused-1)
 	}
 	l := batching.Limits{Pieces: p.limits.MaxPieces, Room: room,
 		DataCenter: string(r.entry.DataCenter), Patience: p.expected(p.limits.MaxPieces), Local: func(dc string) bool { return p.local(now, dc) }}
--- a/internal/app/stagework/ports.go
+++ b/internal/app/stagework/ports.go
@@ -129,4 +129,6 @@
 type Budget interface {
 	Request(pool core.PoolID, n int)
 	Take(pool core.PoolID, n int) bool
+	// TakeSpare is Take for repeats without which no request fails.
+	TakeSpare(pool core.PoolID, n int) bool
 }
--- a/internal/app/stagework/replica.go
+++ b/internal/app/stagework/replica.go
@@ -43,8 +43,10 @@
 	reserved int
 	// lastEnd is the end of the last call; a call that was sent ahead begins then.
 	lastEnd time.Time
-	// fullUntil is set when the endpoint had no room where some was expected.
+	// fullUntil is set when the endpoint had no room where some was expected, and
+	// refused is the size in bytes of the smallest result that it had none for.
 	fullUntil time.Time
+	refused   int
 	// freed collects handles to release with the next call of FreeResults.
 	freed   []string
 	freeing bool
@@ -73,15 +75,28 @@
 	return min(max(r.slowness(now), minUsual), maxUsual)
 }
 
-func (r *replica) succeed(now time.Time, took, expected time.Duration) (back bool) {
+// succeed notes a call that was answered. One in which the endpoint worked on no
+// piece says nothing of its speed.
+func (r *replica) succeed(now time.Time, took, expected time.Duration, worked bool) (back bool) {
 	back = r.failures > 0
 	r.failures, r.outUntil = 0, time.Time{}
+	if !worked {
+		return back
+	}
 	ratio := float64(took) / float64(max(expected, time.Millisecond))
 	r.slow = min((1-slowWeight)*r.slowness(now)+slowWeight*ratio, maxSlow)
 	r.slowAt = now
 	return back
 }
 
+// full notes that the endpoint had no room for a result.
+func (r *replica) full(now time.Time, bytes int) {
+	if !now.Before(r.fullUntil) || bytes < r.refused {
+		r.refused = bytes
+	}
+	r.fullUntil = now.Add(fullPause)
+}
+
 func (r *replica) fail(now time.Time) (out bool) {
 	r.failures++
 	d := min(baseEjection<<min(r.failures-1, 4), maxEjection)
--- a/internal/app/stagework/sim_test.go
+++ b/internal/app/stagework/sim_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -114,6 +115,9 @@
 		}
 	}
 	took := time.Duration(float64(w.limits.CallTime+time.Duration(len(pieces))*w.limits.PieceTime) * m.factor)
+	if !slices.ContainsFunc(out, func(o Outcome) bool { return o.Reason != NoRoom }) {
+		took = 0
+	}
 	w.mu.Unlock()
 	select {
 	case <-time.After(took):
@@ -156,10 +160,22 @@
 func (quiet) PieceRepeated(*Task, string, bool)                                                {}
 func (quiet) EndpointHealth(core.PoolID, core.InstanceID, bool, string)                        {}
 
-// allowance is a Budget of a fixed number of repeats.
+// allowance is a Budget of a fixed number of repeats, of which spare may go to
+// calls that are only slow.
 type allowance struct {
-	mu   sync.Mutex
-	left int
+	mu          sync.Mutex
+	left, spare int
+}
+
+func (a *allowance) TakeSpare(id core.PoolID, n int) bool {
+	a.mu.Lock()
+	if n > a.spare {
+		a.mu.Unlock()
+		return false
+	}
+	a.spare -= n
+	a.mu.Unlock()
+	return a.Take(id, n)
 }
 
 func (a *allowance) Request(core.PoolID, int) {}
@@ -179,7 +195,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(t.Context())
 		w := newWorld(t, n)
-		c := NewCoordinator(ctx, w, quiet{}, &allowance{left: 50}, time.Now)
+		c := NewCoordinator(ctx, w, quiet{}, &allowance{left: 50, spare: 25}, time.Now)
 		c.SetEndpoints(w.pool(), 0, w.entries())
 		f(w, c)
 		cancel()
--- a/internal/decide/repeats/repeats.go
+++ b/internal/decide/repeats/repeats.go
@@ -10,6 +10,9 @@
 	// count with an older number of peers.
 	margin = 0.6
 	slots  = 10
+	// spareShare is the part of the allowance that repeats may use which no request
+	// depends on.
+	spareShare = 0.5
 )
 
 // Limits is the bound over all daemons.
@@ -52,13 +55,23 @@
 // Take spends n repeats if the part of this daemon allows them. daemons is the
 // number that share the allowance.
 func (b *Budget) Take(now time.Time, n, daemons int) bool {
+	return b.take(now, n, daemons, margin)
+}
+
+// TakeSpare is Take for repeats without which a request does not fail, as when a
+// call is only slow: they leave half of the allowance to the others.
+func (b *Budget) TakeSpare(now time.Time, n, daemons int) bool {
+	return b.take(now, n, daemons, margin*spareShare)
+}
+
+func (b *Budget) take(now time.Time, n, daemons int, share float64) bool {
 	i := b.turn(now)
 	var req, rep float64
 	for k := range slots {
 		req += b.requests[k]
 		rep += b.repeats[k]
 	}
-	if rep+float64(n) > margin*(b.limits.Slack/float64(max(daemons, 1))+b.limits.Ratio*req) {
+	if rep+float64(n) > share*(b.limits.Slack/float64(max(daemons, 1))+b.limits.Ratio*req) {
 		return false
 	}
 	b.repeats[i] += float64(n)
--- a/internal/decide/repeats/repeats_test.go
+++ b/internal/decide/repeats/repeats_test.go
@@ -71,3 +71,20 @@
 		t.Error("nothing is allowed after a window")
 	}
 }
+
+// Pattern: an endpoint is slow for long. The calls that are made again only for
+// that must leave repeats for requests that fail without one.
+func TestSpareRepeatsLeaveHalf(t *testing.T) {
+	now := time.Unix(1000, 0)
+	b := New(Limits{Slack: 100, Window: 10 * time.Second})
+	spare, needed := 0, 0
+	for b.TakeSpare(now, 1, 1) {
+		spare++
+	}
+	for b.Take(now, 1, 1) {
+		needed++
+	}
+	if spare != 30 || needed != 30 {
+		t.Errorf("%d spare and %d other repeats of 60", spare, needed)
+	}
+}
--- a/internal/edge/shared.go
+++ b/internal/edge/shared.go
@@ -50,6 +50,14 @@
 	return b.pool(id).Take(time.Now(), n, daemons)
 }
 
+// TakeSpare implements stagework.Budget.
+func (b *budgets) TakeSpare(id core.PoolID, n int) bool {
+	daemons := b.daemons()
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.pool(id).TakeSpare(time.Now(), n, daemons)
+}
+
 // coordinators is the number of daemons that may take one pool for theirs at a
 // time: the old and the new one around a change of membership.
 const coordinators = 2
