Group stage endpoints by data centre and choose groups by place and wait

Cause: a pool of more than 8 stage endpoints was divided by a hash of the endpoints, which made groups of 8, 5 and 4 out of 17, while tasks were spread evenly over them: the small groups refused work that the large one had endpoints for. And a task went to a group without regard to where its inputs were. Change: up to 8 endpoints stay one group; above that each data centre is one, or several of about 8. A task goes to the group where its inputs are unless one drawn by its key, weighed by size, waits 150 ms less. Waits are told by group. A group that is no more hands its tasks back to their clients. Tests: internal/decide/grouping, TestADividedPoolLosesNoTask, TestTasksGoWhereTheirInputsAre.

--- a/internal/adapter/fleetrpc/convert.go
+++ b/internal/adapter/fleetrpc/convert.go
@@ -25,7 +25,7 @@
 			PrefillTokens: int64(l.PrefillTokens), Failing: l.Failing})
 	}
 	for _, w := range s.Waits {
-		p := &fleetpb.PoolWait{Pool: string(w.Pool)}
+		p := &fleetpb.GroupWait{Pool: string(w.Pool), Group: int32(w.Group)}
 		for _, d := range w.Wait {
 			p.WaitMs = append(p.WaitMs, uint32(d.Milliseconds()))
 		}
@@ -47,7 +47,7 @@
 			PrefillTokens: int(l.GetPrefillTokens()), Failing: l.GetFailing()})
 	}
 	for _, w := range s.GetWaits() {
-		p := fleet.PoolWait{Pool: core.PoolID(w.GetPool())}
+		p := fleet.GroupWait{StageGroup: fleet.StageGroup{Pool: core.PoolID(w.GetPool()), Group: int(w.GetGroup())}}
 		for _, ms := range w.GetWaitMs() {
 			p.Wait = append(p.Wait, time.Duration(ms)*time.Millisecond)
 		}
--- a/internal/adapter/fleetrpc/fleetrpc_test.go
+++ b/internal/adapter/fleetrpc/fleetrpc_test.go
@@ -27,6 +27,7 @@
 func (noEvents) EndpointHealth(core.PoolID, core.InstanceID, bool, string)                        {}
 func (noEvents) Request(core.PoolID, int)                                                         {}
 func (noEvents) Take(core.PoolID, int) bool                                                       { return true }
+func (noEvents) TakeSpare(core.PoolID, int) bool                                                  { return true }
 func (noEvents) FreeResults(context.Context, core.Endpoint, []string) error                       { return nil }
 
 func (noEvents) RunPieces(_ context.Context, e core.Endpoint, pieces []stagework.Piece) ([]stagework.Outcome, error) {
@@ -68,7 +69,7 @@
 func TestStatusArrivesWhole(t *testing.T) {
 	d, c := serve(t), NewClient(time.Now)
 	sent := &fleet.Status{Member: fleet.Member{ID: "me", Address: "a:1", DataCenter: "x"}, Incarnation: 5, Leaving: true, Tables: map[string]int64{"t": 3},
-		Loads: []fleet.EndpointLoad{{Endpoint: "e", Running: 2, PrefillTokens: 9000, Failing: true}}, Waits: []fleet.PoolWait{{Pool: "p", Wait: []time.Duration{0, 1500 * time.Millisecond}}},
+		Loads: []fleet.EndpointLoad{{Endpoint: "e", Running: 2, PrefillTokens: 9000, Failing: true}}, Waits: []fleet.GroupWait{{StageGroup: fleet.StageGroup{Pool: "p", Group: 7}, Wait: []time.Duration{0, 1500 * time.Millisecond}}},
 		Suspects: []fleet.Suspect{{Fingerprint: 1 << 63, Crashes: 2}}, Known: []fleet.Member{{ID: "o", Address: "b:2", DataCenter: "y"}}}
 	reply, err := c.Exchange(t.Context(), d.address, sent)
 	if err != nil || reply.Member.ID != "d" || reply.Tables["t"] != 7 {
--- a/internal/app/fleet/fleet.go
+++ b/internal/app/fleet/fleet.go
@@ -63,9 +63,15 @@
 	Failing bool
 }
 
-// PoolWait is how long new pieces wait in a coordinator's queue, by rank.
-type PoolWait struct {
-	Pool core.PoolID
+// StageGroup is a group of a pool's endpoints that one daemon coordinates.
+type StageGroup struct {
+	Pool  core.PoolID
+	Group int
+}
+
+// GroupWait is how long new pieces wait in a coordinator's queue, by rank.
+type GroupWait struct {
+	StageGroup
 	Wait []time.Duration
 }
 
@@ -84,7 +90,7 @@
 	// Tables holds the version of the last change of each mirrored table.
 	Tables   map[string]int64
 	Loads    []EndpointLoad
-	Waits    []PoolWait
+	Waits    []GroupWait
 	Suspects []Suspect
 	// Known lists other daemons.
 	Known []Member
@@ -378,7 +384,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	now := f.now()
-	v := &View{Loads: map[core.InstanceID]EndpointLoad{}, Waits: map[core.PoolID]map[core.InstanceID][]time.Duration{}, Newest: map[string]Holder{}}
+	v := &View{Loads: map[core.InstanceID]EndpointLoad{}, Waits: map[StageGroup]map[core.InstanceID][]time.Duration{}, Newest: map[string]Holder{}}
 	if !f.leaving.Load() {
 		v.Alive = append(v.Alive, f.self)
 	}
--- a/internal/app/fleet/view.go
+++ b/internal/app/fleet/view.go
@@ -16,8 +16,8 @@
 	// Alive is ordered by ID. Leaving daemons are not in it.
 	Alive []Member
 	Loads map[core.InstanceID]EndpointLoad
-	// Waits holds, by pool, the waits told by the daemon that coordinates it.
-	Waits map[core.PoolID]map[core.InstanceID][]time.Duration
+	// Waits holds, by group, the waits told by the daemons that coordinate it.
+	Waits map[StageGroup]map[core.InstanceID][]time.Duration
 	// Newest is the highest version of each table and a daemon that has it.
 	Newest map[string]Holder
 }
@@ -37,10 +37,10 @@
 		v.Loads[l.Endpoint] = sum
 	}
 	for _, w := range s.Waits {
-		if v.Waits[w.Pool] == nil {
-			v.Waits[w.Pool] = map[core.InstanceID][]time.Duration{}
+		if v.Waits[w.StageGroup] == nil {
+			v.Waits[w.StageGroup] = map[core.InstanceID][]time.Duration{}
 		}
-		v.Waits[w.Pool][s.Member.ID] = w.Wait
+		v.Waits[w.StageGroup][s.Member.ID] = w.Wait
 	}
 	for table, version := range s.Tables {
 		if version > v.Newest[table].Version {
--- a/internal/app/forward/stages.go
+++ b/internal/app/forward/stages.go
@@ -174,7 +174,8 @@
 		}
 	}
 	t.Holds = total >= largeInputs
-	if len(s.After) > 0 {
+	if t.From = x.near; len(weight) > 0 {
+		t.From = heaviest(weight)
 		t.Near = ""
 	}
 	if !t.Holds {
@@ -182,11 +183,8 @@
 	} else if a := s.After; len(a) == 1 && users[a[0]] == 1 {
 		t.Taken, t.TakenPool = results[a[0]], x.route.Stages[a[0]].Pool
 	}
-	most := 0
-	for dc, n := range weight {
-		if n > most || (n == most && dc < t.Near) {
-			most, t.Near = n, dc
-		}
+	if len(weight) > 0 {
+		t.Near = heaviest(weight)
 	}
 	if len(t.Inputs) == 0 {
 		t.Key = x.req.PieceKey
@@ -197,6 +195,16 @@
 	return t, nil
 }
 
+// heaviest returns the data centre with the largest weight.
+func heaviest(weight map[core.DataCenterID]int) (out core.DataCenterID) {
+	for dc, n := range weight {
+		if n > weight[out] || (n == weight[out] && dc < out) {
+			out = dc
+		}
+	}
+	return out
+}
+
 // inputCost returns the extra cost of an engine that has to fetch results from
 // other data centres.
 func (in *inputs) inputCost(dc core.DataCenterID) time.Duration {
--- a/internal/app/stagework/call.go
+++ b/internal/app/stagework/call.go
@@ -188,6 +188,10 @@
 	if it.finished || it.queued || it.task.ended || it.running > 0 {
 		return
 	}
+	if p.dissolved {
+		p.end(it.task, dissolved())
+		return
+	}
 	if it.task.freed {
 		p.end(it.task, &core.Error{Kind: core.Conflict, Step: "stage", Peer: cause.Peer, Ran: core.RanNot, Detail: "the call failed after its inputs were freed: " + cause.Detail, Err: cause})
 		return
--- a/internal/app/stagework/client.go
+++ b/internal/app/stagework/client.go
@@ -3,7 +3,7 @@
 import (
 	"context"
 	"fmt"
-	"hash/fnv"
+	"slices"
 	"sync"
 	"time"
 
@@ -11,12 +11,10 @@
 	"eelgrassgrade/internal/app/fleet"
 	"eelgrassgrade/internal/core"
 	"eelgrassgrade/internal/decide/catalog"
+	"eelgrassgrade/internal/decide/grouping"
 )
 
 const (
-	// groupSize is the number of endpoints that one daemon coordinates. Calls of
-	// 8 endpoints cost a small instance a few hundredths of its core.
-	groupSize = 8
 	// maxCoordinators bounds the daemons that one task is handed to.
 	maxCoordinators = 3
 	releaseDelay    = 5 * time.Millisecond
@@ -32,10 +30,10 @@
 	events Events
 	now    func() time.Time
 
-	mu        sync.Mutex
-	sizes     map[core.PoolID]int
-	groups    map[core.InstanceID]int
-	pools     map[core.InstanceID]core.PoolID
+	mu sync.Mutex
+	// groups of each pool, replaced whole; of is each endpoint's group.
+	groups    map[core.PoolID][]grouping.Group
+	of        map[core.PoolID]map[core.InstanceID]int
 	pending   map[core.PoolID][]Result
 	releasing bool
 }
@@ -43,41 +41,41 @@
 // NewClient returns a client.
 func NewClient(f *fleet.Fleet, self fleet.Member, local *Coordinator, remote Coordinators, ev Events, now func() time.Time) *Client {
 	c := &Client{fleet: f, self: self, local: local, remote: remote, events: ev, now: now,
-		sizes: map[core.PoolID]int{}, groups: map[core.InstanceID]int{}, pools: map[core.InstanceID]core.PoolID{}, pending: map[core.PoolID][]Result{}}
+		groups: map[core.PoolID][]grouping.Group{}, of: map[core.PoolID]map[core.InstanceID]int{}, pending: map[core.PoolID][]Result{}}
 	local.release, local.wait = c.Release, c.Wait
 	return c
 }
 
 // SetEndpoints divides the endpoints of a pool into groups and hands them to
-// the local coordinator.
+// the local coordinator. Tasks of groups that are no more are told so, and their
+// clients choose again.
 func (c *Client) SetEndpoints(p *catalog.Pool, list []endpoints.Entry) {
-	n := max(1, (len(list)+groupSize-1)/groupSize)
-	groups := make([][]endpoints.Entry, n)
-	c.mu.Lock()
-	old := c.sizes[p.ID]
-	c.sizes[p.ID] = n
-	known := make(map[core.InstanceID]bool, len(list))
-	for _, e := range list {
-		known[e.ID] = true
-		h := fnv.New32a()
-		h.Write([]byte(e.ID))
-		g := int(h.Sum32() % uint32(n))
-		groups[g] = append(groups[g], e)
-		c.groups[e.ID], c.pools[e.ID] = g, p.ID
-	}
-	for id := range c.groups {
-		if c.pools[id] == p.ID && !known[id] {
-			delete(c.groups, id)
-			delete(c.pools, id)
+	members := make([]grouping.Member, len(list))
+	byID := make(map[string]endpoints.Entry, len(list))
+	for i, e := range list {
+		members[i] = grouping.Member{ID: string(e.ID), DataCenter: string(e.DataCenter)}
+		byID[string(e.ID)] = e
+	}
+	groups := grouping.Divide(members)
+	of := make(map[core.InstanceID]int, len(list))
+	parts := make(map[int][]endpoints.Entry, len(groups))
+	for _, g := range groups {
+		for _, id := range g.Members {
+			of[core.InstanceID(id)] = g.ID
+			parts[g.ID] = append(parts[g.ID], byID[id])
 		}
 	}
+	c.mu.Lock()
+	old := c.groups[p.ID]
+	c.groups[p.ID], c.of[p.ID] = groups, of
 	c.mu.Unlock()
-	for g := range max(n, old) {
-		var part []endpoints.Entry
-		if g < n {
-			part = groups[g]
+	for _, g := range groups {
+		c.local.SetEndpoints(p, g.ID, parts[g.ID])
+	}
+	for _, g := range old {
+		if !slices.ContainsFunc(groups, func(x grouping.Group) bool { return x.ID == g.ID }) {
+			c.local.dissolve(p.ID, g.ID)
 		}
-		c.local.SetEndpoints(p, g, part)
 	}
 }
 
@@ -87,42 +85,47 @@
 }
 
 // Wait returns how long a new piece of the rank waits in a pool, as the
-// coordinator last told.
+// coordinators last told.
 func (c *Client) Wait(pool core.PoolID, rank int) time.Duration {
-	c.mu.Lock()
-	n := max(c.sizes[pool], 1)
-	c.mu.Unlock()
-	var least time.Duration = -1
-	for g := range n {
-		list := c.owner(pool, g)
-		if len(list) == 0 {
-			continue
-		}
-		var waits []time.Duration
-		if list[0].ID == c.self.ID {
-			waits = c.local.Waits()[pool]
-		} else {
-			waits = c.fleet.View().Waits[pool][list[0].ID]
-		}
-		w := time.Duration(0)
-		if len(waits) > 0 {
-			w = waits[min(rank, len(waits)-1)]
-		}
-		if least < 0 || w < least {
+	least := time.Duration(-1)
+	for _, g := range c.groupsOf(pool) {
+		if w := c.groupWait(pool, g, rank); least < 0 || w < least {
 			least = w
 		}
 	}
 	return max(least, 0)
 }
 
+func (c *Client) groupsOf(pool core.PoolID) []grouping.Group {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.groups[pool]
+}
+
+// groupWait is Wait for one group.
+func (c *Client) groupWait(pool core.PoolID, g grouping.Group, rank int) time.Duration {
+	list := c.owner(pool, g.ID)
+	if len(list) == 0 {
+		return 0
+	}
+	key := fleet.StageGroup{Pool: pool, Group: g.ID}
+	waits := c.fleet.View().Waits[key][list[0].ID]
+	if list[0].ID == c.self.ID {
+		waits = c.local.waitsOf(key)
+	}
+	if len(waits) == 0 {
+		return 0
+	}
+	return waits[min(rank, len(waits)-1)]
+}
+
 // group chooses the group of a task.
 func (c *Client) group(t *Task) int {
-	c.mu.Lock()
-	n := max(c.sizes[t.Pool], 1)
-	c.mu.Unlock()
-	h := fnv.New32a()
-	h.Write([]byte(t.Request))
-	return int(h.Sum32() % uint32(n))
+	groups := c.groupsOf(t.Pool)
+	if len(groups) == 0 {
+		return 0
+	}
+	return grouping.Choose(string(t.Request), string(t.From), groups, func(g grouping.Group) time.Duration { return c.groupWait(t.Pool, g, t.Rank) }).ID
 }
 
 // Run runs a task at the coordinator of its group. If that daemon is lost, the
@@ -133,6 +136,10 @@
 	var err error
 	var tried []string
 	for range maxCoordinators {
+		if now := c.group(t); err != nil && now != group {
+			// The pool was divided anew.
+			group, tried = now, nil
+		}
 		m, ok := c.next(t.Pool, group, tried)
 		if !ok {
 			break
@@ -222,7 +229,7 @@
 	batches := map[batch][]Result{}
 	for pool, results := range pending {
 		for _, r := range results {
-			list := c.owner(pool, c.groups[r.Endpoint])
+			list := c.owner(pool, c.of[pool][r.Endpoint])
 			to := c.self
 			if len(list) > 0 {
 				to = list[0]
--- a/internal/app/stagework/coordinator.go
+++ b/internal/app/stagework/coordinator.go
@@ -2,10 +2,12 @@
 
 import (
 	"context"
+	"maps"
 	"sync"
 	"time"
 
 	"eelgrassgrade/internal/app/endpoints"
+	"eelgrassgrade/internal/app/fleet"
 	"eelgrassgrade/internal/core"
 	"eelgrassgrade/internal/decide/catalog"
 )
@@ -77,17 +79,12 @@
 	wait    func(core.PoolID, int) time.Duration
 
 	mu    sync.Mutex
-	pools map[groupKey]*pool
-}
-
-type groupKey struct {
-	pool  core.PoolID
-	group int
+	pools map[fleet.StageGroup]*pool
 }
 
 // NewCoordinator returns a coordinator whose calls end with ctx.
 func NewCoordinator(ctx context.Context, e Endpoints, ev Events, b Budget, now func() time.Time) *Coordinator {
-	return &Coordinator{endpoints: e, events: ev, budget: b, now: now, ctx: ctx, release: func(core.PoolID, []Result) {}, wait: func(core.PoolID, int) time.Duration { return 0 }, pools: map[groupKey]*pool{}}
+	return &Coordinator{endpoints: e, events: ev, budget: b, now: now, ctx: ctx, release: func(core.PoolID, []Result) {}, wait: func(core.PoolID, int) time.Duration { return 0 }, pools: map[fleet.StageGroup]*pool{}}
 }
 
 // SetEndpoints replaces the endpoints of a group.
@@ -98,7 +95,7 @@
 func (c *Coordinator) pool(id core.PoolID, group int) *pool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	k := groupKey{id, group}
+	k := fleet.StageGroup{Pool: id, Group: group}
 	p := c.pools[k]
 	if p == nil {
 		p = &pool{c: c, id: id, replicas: map[core.InstanceID]*replica{}, used: map[core.AccountID]float64{}}
@@ -107,25 +104,53 @@
 	return p
 }
 
-// Waits returns how long a new piece of each rank would wait, by pool.
-func (c *Coordinator) Waits() map[core.PoolID][]time.Duration {
+// Waits returns how long a new piece of each rank would wait, by group.
+func (c *Coordinator) Waits() map[fleet.StageGroup][]time.Duration {
 	c.mu.Lock()
-	list := make([]*pool, 0, len(c.pools))
-	for _, p := range c.pools {
-		list = append(list, p)
-	}
+	list := maps.Clone(c.pools)
 	c.mu.Unlock()
-	out := map[core.PoolID][]time.Duration{}
-	for _, p := range list {
+	out := map[fleet.StageGroup][]time.Duration{}
+	for k, p := range list {
 		if w := p.waits(); w != nil {
-			out[p.id] = w
+			out[k] = w
 		}
 	}
 	return out
 }
 
+// waitsOf is Waits for one group.
+func (c *Coordinator) waitsOf(k fleet.StageGroup) []time.Duration {
+	c.mu.Lock()
+	p := c.pools[k]
+	c.mu.Unlock()
+	if p == nil {
+		return nil
+	}
+	return p.waits()
+}
+
+// dissolve ends a group that is no more. Its tasks end as if this daemon were
+// lost; calls in progress run to their end.
+func (c *Coordinator) dissolve(id core.PoolID, group int) {
+	k := fleet.StageGroup{Pool: id, Group: group}
+	c.mu.Lock()
+	p := c.pools[k]
+	delete(c.pools, k)
+	c.mu.Unlock()
+	if p != nil {
+		p.dissolve()
+	}
+}
+
 // Submit queues the pieces of a task and returns their results.
 func (c *Coordinator) Submit(ctx context.Context, group int, t *Task) ([]Result, error) {
+	c.mu.Lock()
+	known := c.pools[fleet.StageGroup{Pool: t.Pool, Group: group}] != nil
+	c.mu.Unlock()
+	if group != 0 && !known {
+		// The list of this daemon differs from the client's for a moment.
+		return nil, dissolved()
+	}
 	return c.pool(t.Pool, group).submit(ctx, t)
 }
 
@@ -134,7 +159,7 @@
 	c.mu.Lock()
 	var pools []*pool
 	for k, p := range c.pools {
-		if k.pool == id {
+		if k.Pool == id {
 			pools = append(pools, p)
 		}
 	}
--- a/internal/app/stagework/pool.go
+++ b/internal/app/stagework/pool.go
@@ -55,6 +55,8 @@
 	used      map[core.AccountID]float64
 	usedAt    time.Time
 	timer     *time.Timer
+	// dissolved says that the group is no more.
+	dissolved bool
 }
 
 func (p *pool) setEndpoints(l *catalog.Batching, list []endpoints.Entry) {
@@ -81,6 +83,10 @@
 
 func (p *pool) submit(ctx context.Context, t *Task) ([]Result, error) {
 	p.mu.Lock()
+	if p.dissolved {
+		p.mu.Unlock()
+		return nil, dissolved()
+	}
 	if len(p.queue)+t.Pieces > maxWaiting {
 		p.mu.Unlock()
 		return nil, &core.Error{Kind: core.Unavailable, Step: "stage", Ran: core.RanNot, RetryAfter: time.Second, Detail: "too many pieces wait for this stage"}
@@ -118,6 +124,22 @@
 	return tk.results, nil
 }
 
+// dissolve ends all tasks so that their clients hand them to another group.
+func (p *pool) dissolve() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.dissolved = true
+	for len(p.queue) > 0 {
+		p.end(p.queue[0].task, dissolved())
+	}
+	clear(p.replicas)
+}
+
+// dissolved is the end of a task whose group is no more.
+func dissolved() *core.Error {
+	return &core.Error{Kind: core.Unavailable, Step: "stage", Ran: core.RanNot, Detail: LostCoordinator}
+}
+
 // end finishes a task. What it has of results is released.
 func (p *pool) end(t *task, err error) {
 	if t.ended {
--- a/internal/app/stagework/ports.go
+++ b/internal/app/stagework/ports.go
@@ -28,6 +28,9 @@
 	Start, Deadline time.Time
 	// ResultBytes is the expected size of each result.
 	ResultBytes int
+	// From is the data centre that holds most of the inputs, or the daemon's own;
+	// the task goes to a group there if that does not wait longer.
+	From core.DataCenterID
 	// Near is the data centre in which results are best made, or empty.
 	Near core.DataCenterID
 	// Holds says that the inputs take up much room until the task is done.
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -145,8 +145,8 @@
 	for _, t := range []*mirror.Table{d.config, d.list, d.daemons} {
 		s.Tables[t.Name()] = t.Snapshot().Changed
 	}
-	for pool, w := range d.coord.Waits() {
-		s.Waits = append(s.Waits, fleet.PoolWait{Pool: pool, Wait: w})
+	for group, w := range d.coord.Waits() {
+		s.Waits = append(s.Waits, fleet.GroupWait{StageGroup: group, Wait: w})
 	}
 	return s
 }
