Refuse streams whose rest would not come in time

The time that a request's stages may take left room for the first event of its answer only. Where the daemon that coordinates a stage went silent, the stage took until that daemon counted as lost (1.1 s); the stream then began with less time than its events need and was cut in the middle, after it had cost an engine its time.

Ruled out: a fault of the endpoint (none overlapped the request, and the engine's record shows no faulty answer), a pause or stop of the daemon (none), a stalled stream (the check for that waits 1.5 s and asks another endpoint).

Change: the time from the first to the last event is measured by route (mean and two mean deviations of streams that ended whole). Stages must end early enough for it, and requests that cannot are refused at once as not run, with the time to come back. A rest of more than half of the request's time is not believed, so that a route cannot shut itself.

Before: TestAStreamThatCannotEndInTimeDoesNotBegin cuts the stream after one send. After: refused as not run, no send.

--- a/internal/app/forward/attempt.go
+++ b/internal/app/forward/attempt.go
@@ -154,8 +154,11 @@
 	}
 	defer a.Body.Close()
 	if x.route.Stream && a.Genuine && a.Status == http.StatusOK {
+		resumed := s.last != ""
+		var at time.Time
 		s.first = func() {
 			first()
+			at = f.now()
 			f.paces.observe(x.route.Name, f.now().Sub(began))
 			f.tracker.observe(x.pool, e.ID, health.Sample{OK: true, Form: health.Stream, Elapsed: normalized(f.now().Sub(began), x.req.PromptTokens)}, false)
 			if x.route.Repeat != catalog.Resumable {
@@ -165,6 +168,9 @@
 		if err := s.pass(call, a); err != nil {
 			return f.broken(ctx, x, e, began, err)
 		}
+		if !resumed && !at.IsZero() {
+			f.paces.observeRest(x.route.Name, f.now().Sub(at))
+		}
 		f.suspects.cleared(x.fingerprint)
 		return nil
 	}
--- a/internal/app/forward/fake_test.go
+++ b/internal/app/forward/fake_test.go
@@ -29,6 +29,8 @@
 	// breaks cuts the answer after its body.
 	breaks bool
 	wait   time.Duration
+	// rest is the time from the body to its end.
+	rest time.Duration
 }
 
 // world is a fake platform; the records of sends are what promises are judged by.
@@ -48,7 +50,9 @@
 	stageErr     error
 	stageErrFrom int
 	wait         time.Duration
-	allowed      bool
+	// stageTime is the time of a stage, 100 ms if it is 0.
+	stageTime time.Duration
+	allowed   bool
 	// crashing says that endpoints which break off are down afterwards.
 	crashing bool
 }
@@ -116,6 +120,9 @@
 	if a.breaks {
 		body = io.MultiReader(body, broken{})
 	}
+	if a.rest > 0 {
+		body = io.MultiReader(body, &pause{ctx, a.rest})
+	}
 	status := a.status
 	if status == 0 {
 		status = http.StatusOK
@@ -128,8 +135,27 @@
 
 func (broken) Read([]byte) (int, error) { return 0, io.ErrUnexpectedEOF }
 
-func (w *world) Run(_ context.Context, t *stagework.Task) ([]stagework.Result, error) {
-	time.Sleep(100 * time.Millisecond)
+// pause is the end of a body that comes after a time, or with the request's end.
+type pause struct {
+	ctx context.Context
+	d   time.Duration
+}
+
+func (p *pause) Read([]byte) (int, error) {
+	select {
+	case <-time.After(p.d):
+		return 0, io.EOF
+	case <-p.ctx.Done():
+		return 0, p.ctx.Err()
+	}
+}
+
+func (w *world) Run(ctx context.Context, t *stagework.Task) ([]stagework.Result, error) {
+	select {
+	case <-time.After(max(w.stageTime, 100*time.Millisecond)):
+	case <-ctx.Done():
+		return nil, &core.Error{Kind: core.DeadlineExceeded, Step: "stage", Ran: core.RanNot, Err: ctx.Err()}
+	}
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.tasks = append(w.tasks, t)
--- a/internal/app/forward/forward.go
+++ b/internal/app/forward/forward.go
@@ -85,12 +85,15 @@
 	// target is when the answer should begin, begin when the caller leaves if it
 	// has not begun, deadline when the whole answer is of no use.
 	target, begin, deadline time.Time
-	plan                    plan
-	near                    core.DataCenterID
-	fingerprint             uint64
-	inputs                  *inputs
-	stageRuns               int
-	out                     Outcome
+	// last is when the stages must be done for the answer to begin by begin and to
+	// be whole by deadline.
+	last        time.Time
+	plan        plan
+	near        core.DataCenterID
+	fingerprint uint64
+	inputs      *inputs
+	stageRuns   int
+	out         Outcome
 	// ran says that an endpoint may have run the request.
 	ran bool
 	// started says that the answer's head went to the caller.
@@ -191,7 +194,14 @@
 		return nil
 	}
 	x.plan = makePlan(x.route, x.snap, x.req.Pieces, f.paces.expect(x.route.Name), func(i int) time.Duration { return f.stages.Wait(x.route.Stages[i].Pool, x.rank) })
-	if left := x.begin.Sub(f.now()); x.plan.total > left {
+	x.last = x.begin.Add(-x.plan.last)
+	// A longer rest than half of the time is not believed: no request of the route
+	// would be let in, and none measured again.
+	rest := min(f.paces.expectRest(x.route.Name), x.deadline.Sub(x.req.Arrived)/2)
+	if at := x.deadline.Add(-x.plan.last - rest); at.Before(x.last) {
+		x.last = at
+	}
+	if left := x.last.Sub(f.now()) + x.plan.last; x.plan.total > left {
 		// The caller may come back when the queue of now is worked off.
 		return &core.Error{Kind: core.Unavailable, Step: "admission", Ran: core.RanNot, RetryAfter: x.plan.waits,
 			Detail: fmt.Sprintf("the stages' queues are too long for the time left: %d ms expected, %d ms of them waits, %d ms left",
@@ -207,12 +217,12 @@
 	x.stageRuns++
 	// What is left after the stages must suffice for the request itself; a caller
 	// that cannot be served is told so while it still listens.
-	ctx, cancel := context.WithDeadline(ctx, x.begin.Add(-x.plan.last))
+	ctx, cancel := context.WithDeadline(ctx, x.last)
 	defer cancel()
 	in, err := f.runStages(ctx, x)
 	if e := core.AsError(err, "stage"); err != nil && x.stageRuns == 1 && e.Kind == core.Conflict {
 		// The endpoint that kept a result is gone: make the results again.
-		again := f.now().Add(x.plan.total).Before(x.begin)
+		again := f.now().Add(x.plan.total - x.plan.last).Before(x.last)
 		f.events.Again(x.req, x.pool, "results of stages are gone", again, e)
 		if again {
 			x.stageRuns++
--- a/internal/app/forward/forward_test.go
+++ b/internal/app/forward/forward_test.go
@@ -283,6 +283,42 @@
 	})
 }
 
+// Guards against streams that begin when the time for their rest is no longer
+// there, after stages that took long, and are cut in the middle.
+func TestAStreamThatCannotEndInTimeDoesNotBegin(t *testing.T) {
+	start(t, 1, func(w *world) {
+		w.script = func(core.Endpoint, *Outgoing, int) act {
+			return act{body: "id: 1\ndata: a\n\n", rest: 600 * time.Millisecond}
+		}
+		staged := func(r *Request) { r.Pieces = []int{1, 1} }
+		for range 3 {
+			if got := w.ask(context.Background(), "staged", staged); got.err != nil || got.cut {
+				t.Fatalf("with fast stages: cut %t, %v", got.cut, got.err)
+			}
+		}
+		sends := len(w.sends)
+		w.stageTime = 850 * time.Millisecond
+		got := w.ask(context.Background(), "staged", staged)
+		if got.cut || got.err == nil || got.err.Kind != core.Unavailable || got.err.Ran != core.RanNot || got.err.RetryAfter <= 0 || len(w.sends) != sends {
+			t.Errorf("with slow stages: cut %t, %v, %d sends", got.cut, got.err, len(w.sends)-sends)
+		}
+	})
+}
+
+// Guards against a rest of streams that was long once and keeps all later requests
+// of the route out.
+func TestALongRestDoesNotShutTheRoute(t *testing.T) {
+	start(t, 1, func(w *world) {
+		rest := 1500 * time.Millisecond
+		w.script = func(core.Endpoint, *Outgoing, int) act { return act{body: "id: 1\ndata: a\n\n", rest: rest} }
+		for range 20 {
+			if got := w.ask(context.Background(), "staged", func(r *Request) { r.Pieces = []int{1, 1} }); got.err != nil || got.cut {
+				t.Fatalf("cut %t, %v", got.cut, got.err)
+			}
+		}
+	})
+}
+
 // Guards against callers that are told to come back after an hour, or all at the
 // same moment.
 func TestRetryAfterIsBoundedAndSpread(t *testing.T) {
