Keep a large configuration from cutting off the readers of the store

In the trace, 87 daemons had each version within 0.7 s until 17.7 s. Then the store refused half of the eight daemons that read it, and a change of the configuration came each 0.3 s, hundreds of kilobytes each. The four readers left stood on links of 10 Mbit/s and handed each version to all others in full: 57 daemons had version 45 after 0.6 s, six had 49 after 3 s. Their exchanges timed out behind it, from 19.6 s on the others took them for lost (2.6 s of silence at 87 daemons), and 30 daemons stood at version 37 until the end of the trace. A daemon that reads no store of its own had no way to the change but these four.

Ruled out: processor time (0.11 of a core at the most), a store that fails for all (the four readers read it throughout), rows applied late (in force 1 ms after they arrive).

Change: - Rows of 4 KB and more are handed on compressed, once for each version. - Daemons tell each other how long ago the store last answered one of them. A daemon that hears of no answer for 2 s reads the store itself, for 10 s at least, and so does a reader that waits on a silent call. - A pull is given up after 0.5 s and asked of another daemon 0.2 s later (before: 0.9 s and 1 s); the store is read once besides. - Readers, watchers and coordinators are ranked by rendezvous hashing with weights: the square of the daemon's part of a core, and the data centre of a group's endpoints before others. Rankings are kept as long as the same daemons are alive; each request asked for several. - New setting cpu_share, filled in by the platform.

TestADaemonThatHearsOfNoAnswerReadsTheStore, TestASilentPeerDelaysA- ChangeLittle and TestALargeRowIsHandedOnCompressed fail without their parts of the change.

--- a/internal/adapter/fleetrpc/convert.go
+++ b/internal/adapter/fleetrpc/convert.go
@@ -1,6 +1,7 @@
 package fleetrpc
 
 import (
+	"math"
 	"time"
 
 	"eelgrassgrade/internal/adapter/fleetrpc/fleetpb"
@@ -11,14 +12,14 @@
 )
 
 func memberToPB(m fleet.Member) *fleetpb.Member {
-	return &fleetpb.Member{Id: string(m.ID), Address: m.Address, DataCenter: string(m.DataCenter)}
+	return &fleetpb.Member{Id: string(m.ID), Address: m.Address, DataCenter: string(m.DataCenter), Millicores: uint32(m.Millicores)}
 }
 
 func memberFromPB(m *fleetpb.Member) fleet.Member {
-	return fleet.Member{ID: core.InstanceID(m.GetId()), Address: m.GetAddress(), DataCenter: core.DataCenterID(m.GetDataCenter())}
+	return fleet.Member{ID: core.InstanceID(m.GetId()), Address: m.GetAddress(), DataCenter: core.DataCenterID(m.GetDataCenter()), Millicores: int(m.GetMillicores())}
 }
 
-func statusToPB(s *fleet.Status) *fleetpb.Status {
+func statusToPB(now time.Time, s *fleet.Status) *fleetpb.Status {
 	out := &fleetpb.Status{Member: memberToPB(s.Member), Incarnation: s.Incarnation, Leaving: s.Leaving, Tables: s.Tables}
 	for _, l := range s.Loads {
 		out.Loads = append(out.Loads, &fleetpb.EndpointLoad{Endpoint: string(l.Endpoint), Running: int32(l.Running),
@@ -37,10 +38,14 @@
 	for _, m := range s.Known {
 		out.Known = append(out.Known, memberToPB(m))
 	}
+	if !s.StoreAnswered.IsZero() {
+		ago := uint32(min(max(now.Sub(s.StoreAnswered).Milliseconds(), 0), math.MaxUint32))
+		out.StoreAnsweredMs = &ago
+	}
 	return out
 }
 
-func statusFromPB(s *fleetpb.Status) *fleet.Status {
+func statusFromPB(now time.Time, s *fleetpb.Status) *fleet.Status {
 	out := &fleet.Status{Member: memberFromPB(s.GetMember()), Incarnation: s.GetIncarnation(), Leaving: s.GetLeaving(), Tables: s.GetTables()}
 	for _, l := range s.GetLoads() {
 		out.Loads = append(out.Loads, fleet.EndpointLoad{Endpoint: core.InstanceID(l.GetEndpoint()), Running: int(l.GetRunning()),
@@ -59,30 +64,37 @@
 	for _, m := range s.GetKnown() {
 		out.Known = append(out.Known, memberFromPB(m))
 	}
+	if s.StoreAnsweredMs != nil {
+		out.StoreAnswered = now.Add(-time.Duration(s.GetStoreAnsweredMs()) * time.Millisecond)
+	}
 	return out
 }
 
-func batchToPB(now time.Time, b mirror.Batch) *fleetpb.PullReply {
+func (p *packer) batch(now time.Time, table string, b mirror.Batch) *fleetpb.PullReply {
 	out := &fleetpb.PullReply{Version: b.Version, Full: b.Full}
 	if !b.OutageEnd.IsZero() {
 		ago := max(now.Sub(b.OutageEnd), 0).Microseconds()
 		out.OutageEndedUs = &ago
 	}
 	for _, r := range b.Rows {
-		out.Rows = append(out.Rows, &fleetpb.Row{Key: r.Key, Value: r.Value, Version: r.Version, Deleted: r.Deleted})
+		out.Rows = append(out.Rows, p.row(table, r))
 	}
 	return out
 }
 
-func batchFromPB(now time.Time, b *fleetpb.PullReply) mirror.Batch {
+func batchFromPB(now time.Time, b *fleetpb.PullReply) (mirror.Batch, error) {
 	out := mirror.Batch{Version: b.GetVersion(), Full: b.GetFull()}
 	if b.OutageEndedUs != nil {
 		out.OutageEnd = now.Add(-time.Duration(b.GetOutageEndedUs()) * time.Microsecond)
 	}
 	for _, r := range b.GetRows() {
-		out.Rows = append(out.Rows, mirror.Row{Key: r.GetKey(), Value: r.GetValue(), Version: r.GetVersion(), Deleted: r.GetDeleted()})
+		row, err := unpack(r)
+		if err != nil {
+			return mirror.Batch{}, err
+		}
+		out.Rows = append(out.Rows, row)
 	}
-	return out
+	return out, nil
 }
 
 func taskToPB(now time.Time, group int, t *stagework.Task) *fleetpb.Task {
--- a/internal/adapter/fleetrpc/fleetrpc.go
+++ b/internal/adapter/fleetrpc/fleetrpc.go
@@ -84,11 +84,11 @@
 	if err != nil {
 		return nil, err
 	}
-	r, err := p.Exchange(ctx, statusToPB(s))
+	r, err := p.Exchange(ctx, statusToPB(c.now(), s))
 	if err != nil {
 		return nil, err
 	}
-	return statusFromPB(r), nil
+	return statusFromPB(c.now(), r), nil
 }
 
 // Pull returns rows of the daemon's copy of a table.
@@ -101,7 +101,7 @@
 	if err != nil {
 		return mirror.Batch{}, err
 	}
-	return batchFromPB(c.now(), r), nil
+	return batchFromPB(c.now(), r)
 }
 
 // Submit implements stagework.Coordinators.
@@ -147,12 +147,13 @@
 	coordinator *stagework.Coordinator
 	now         func() time.Time
 	stopping    func() bool
+	packer      *packer
 	grpc        *grpc.Server
 }
 
 // NewServer returns a server. stopping says that the daemon takes no new tasks.
 func NewServer(f *fleet.Fleet, tables []*mirror.Table, c *stagework.Coordinator, now func() time.Time, stopping func() bool) *Server {
-	s := &Server{fleet: f, tables: map[string]*mirror.Table{}, coordinator: c, now: now, stopping: stopping,
+	s := &Server{fleet: f, tables: map[string]*mirror.Table{}, coordinator: c, now: now, stopping: stopping, packer: newPacker(),
 		grpc: grpc.NewServer(grpc.MaxRecvMsgSize(maxMessage), grpc.MaxSendMsgSize(maxMessage))}
 	for _, t := range tables {
 		s.tables[t.Name()] = t
@@ -169,7 +170,7 @@
 
 // Exchange implements fleetpb.FleetServer.
 func (s *Server) Exchange(_ context.Context, m *fleetpb.Status) (*fleetpb.Status, error) {
-	return statusToPB(s.fleet.Receive(statusFromPB(m))), nil
+	return statusToPB(s.now(), s.fleet.Receive(statusFromPB(s.now(), m))), nil
 }
 
 // Pull implements fleetpb.FleetServer.
@@ -178,7 +179,7 @@
 	if t == nil {
 		return nil, status.Errorf(codes.NotFound, "table %q is not mirrored", r.GetTable())
 	}
-	return batchToPB(s.now(), t.Since(r.GetAfter())), nil
+	return s.packer.batch(s.now(), t.Name(), t.Since(r.GetAfter())), nil
 }
 
 // Submit implements fleetpb.FleetServer.
--- a/internal/adapter/fleetrpc/fleetrpc_test.go
+++ b/internal/adapter/fleetrpc/fleetrpc_test.go
@@ -1,13 +1,17 @@
 package fleetrpc
 
 import (
+	"bytes"
 	"context"
+	"fmt"
 	"net"
 	"reflect"
 	"sync/atomic"
 	"testing"
 	"time"
 
+	"google.golang.org/protobuf/proto"
+
 	"eelgrassgrade/internal/app/endpoints"
 	"eelgrassgrade/internal/app/fleet"
 	"eelgrassgrade/internal/app/mirror"
@@ -68,14 +72,20 @@
 // Guards against what one daemon tells another arriving changed.
 func TestStatusArrivesWhole(t *testing.T) {
 	d, c := serve(t), NewClient(time.Now)
-	sent := &fleet.Status{Member: fleet.Member{ID: "me", Address: "a:1", DataCenter: "x"}, Incarnation: 5, Leaving: true, Tables: map[string]int64{"t": 3},
+	sent := &fleet.Status{Member: fleet.Member{ID: "me", Address: "a:1", DataCenter: "x", Millicores: 192}, Incarnation: 5, Leaving: true, Tables: map[string]int64{"t": 3},
 		Loads: []fleet.EndpointLoad{{Endpoint: "e", Running: 2, PrefillTokens: 9000, Failing: true}}, Waits: []fleet.GroupWait{{StageGroup: fleet.StageGroup{Pool: "p", Group: 7}, Wait: []time.Duration{0, 1500 * time.Millisecond}}},
-		Suspects: []fleet.Suspect{{Fingerprint: 1 << 63, Crashes: 2}}, Known: []fleet.Member{{ID: "o", Address: "b:2", DataCenter: "y"}}}
+		Suspects: []fleet.Suspect{{Fingerprint: 1 << 63, Crashes: 2}}, Known: []fleet.Member{{ID: "o", Address: "b:2", DataCenter: "y"}},
+		StoreAnswered: time.Now().Add(-time.Minute)}
 	reply, err := c.Exchange(t.Context(), d.address, sent)
 	if err != nil || reply.Member.ID != "d" || reply.Tables["t"] != 7 {
 		t.Fatalf("reply %+v, %v", reply, err)
 	}
-	if got := <-d.seen; !reflect.DeepEqual(got, sent) {
+	got := <-d.seen
+	if ago := time.Since(got.StoreAnswered); ago < time.Minute || ago > time.Minute+10*time.Second {
+		t.Errorf("the store answered %v ago, want a minute", ago)
+	}
+	got.StoreAnswered = sent.StoreAnswered
+	if !reflect.DeepEqual(got, sent) {
 		t.Errorf("arrived %+v", got)
 	}
 }
@@ -98,6 +108,43 @@
 	}
 }
 
+// Guards against a configuration that takes up the links of the daemons that hand
+// it on: 80 of them had it from four, over 10 Mbit/s each, where it may take a
+// second. The compressed form must come back as it was, for each version.
+func TestALargeRowIsHandedOnCompressed(t *testing.T) {
+	const daemons, holders, bytesPerS = 80, 4, 10e6 / 8
+	config := func(version int) []byte {
+		var b bytes.Buffer
+		for i := range 1400 {
+			fmt.Fprintf(&b, `{"name":"route-%d-%d","hostname":"h%x.example","prefix":"/r%d/","route-type":"safe","backend":"desk","timeout-ms":%d,"attempts":2},`,
+				version, i, i*7919, i, 1000+i%7)
+		}
+		return b.Bytes()
+	}
+	p := newPacker()
+	for version := 1; version <= 2; version++ {
+		want := mirror.Row{Key: "config", Value: config(version), Version: int64(version)}
+		for range 2 {
+			sent := p.row("op", want)
+			if limit := int(bytesPerS * holders / daemons); proto.Size(sent) > limit {
+				t.Errorf("%d bytes of %d are sent, at most %d arrive everywhere in a second", proto.Size(sent), len(want.Value), limit)
+			}
+			if got, err := unpack(sent); err != nil || !reflect.DeepEqual(got, want) {
+				t.Errorf("version %d arrived as version %d with %d bytes, %v", version, got.Version, len(got.Value), err)
+			}
+		}
+	}
+	broken := p.row("op", mirror.Row{Key: "config", Value: config(3), Version: 3})
+	broken.Value = broken.Value[:len(broken.Value)/2]
+	if _, err := unpack(broken); err == nil {
+		t.Error("half of a row is taken for the row")
+	}
+	broken.Compression = 9
+	if _, err := unpack(broken); err == nil {
+		t.Error("an unknown compression is taken for none")
+	}
+}
+
 // Guards against results of another task, failures that lose what they prove,
 // and daemons that take tasks while they stop.
 func TestSubmit(t *testing.T) {
--- a/internal/app/fleet/fleet.go
+++ b/internal/app/fleet/fleet.go
@@ -51,6 +51,9 @@
 	ID         core.InstanceID
 	Address    string
 	DataCenter core.DataCenterID
+	// Millicores is what its process may use, in thousandths of a core; 0 counts as
+	// a whole core.
+	Millicores int
 }
 
 // EndpointLoad is what one daemon has in progress on an endpoint.
@@ -94,6 +97,9 @@
 	Suspects []Suspect
 	// Known lists other daemons.
 	Known []Member
+	// StoreAnswered is when the store last answered a daemon, as far as the sender
+	// knows, by the receiver's clock.
+	StoreAnswered time.Time
 }
 
 // Transport carries exchanges.
@@ -103,7 +109,8 @@
 	Drop(address string)
 }
 
-// Source gives this daemon's status, but for Member, Incarnation and Known.
+// Source gives this daemon's status, but for Member, Incarnation and Known, and
+// with StoreAnswered as this daemon itself knows it.
 type Source func() *Status
 
 // Events is told of changes of membership.
@@ -146,6 +153,8 @@
 	peers map[string]*peer // by address
 	// rounds counts the statuses that this daemon told.
 	rounds int
+	// storeAnswered is the latest answer of the store that others told of.
+	storeAnswered time.Time
 }
 
 // turns returns the number of intervals in which each peer is due once. The
@@ -332,12 +341,23 @@
 	return f.Status()
 }
 
+// StoreAnswered returns when the store last answered another daemon, as far as
+// this one heard, through others too. The zero time means that it heard of none.
+func (f *Fleet) StoreAnswered() time.Time {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.storeAnswered
+}
+
 // Status returns what this daemon tells the others.
 func (f *Fleet) Status() *Status {
 	s := f.source()
 	s.Member, s.Incarnation, s.Leaving = f.self, f.born, f.leaving.Load()
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	if f.storeAnswered.After(s.StoreAnswered) {
+		s.StoreAnswered = f.storeAnswered
+	}
 	if f.rounds++; f.rounds > startRounds && f.rounds%knownEach != 1 {
 		return s
 	}
@@ -365,6 +385,9 @@
 	for _, m := range s.Known {
 		f.add(m, false)
 	}
+	if s.StoreAnswered.After(f.storeAnswered) {
+		f.storeAnswered = s.StoreAnswered
+	}
 	f.mu.Unlock()
 	f.onStatus(s)
 	f.refresh()
@@ -407,6 +430,10 @@
 		v.take(p.status)
 	}
 	slices.SortFunc(v.Alive, func(a, b Member) int { return cmp.Compare(a.ID, b.ID) })
+	v.ranks = &ranks{}
+	if old := f.view.Load(); old.ranks != nil && slices.Equal(old.Alive, v.Alive) {
+		v.ranks = old.ranks
+	}
 	f.view.Store(v)
 }
 
--- a/internal/app/fleet/fleet_test.go
+++ b/internal/app/fleet/fleet_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -106,7 +107,7 @@
 			if got := alive(f); got != "d0 d1 d2 d3 d4 d5 " {
 				t.Errorf("daemon %d sees %s", i, got)
 			}
-			if a, b := list[0].View().Ranked("k")[0], f.View().Ranked("k")[0]; a != b {
+			if a, b := list[0].View().Ranked("k", "")[0], f.View().Ranked("k", "")[0]; a != b {
 				t.Errorf("daemon %d ranks %s first, daemon 0 %s", i, b.ID, a.ID)
 			}
 		}
@@ -214,3 +215,81 @@
 		}
 	})
 }
+
+// Guards against a daemon that takes the store to have answered a moment ago
+// because it hears its own word again, and against one that does not hear of an
+// answer because it does not reach the reader itself.
+func TestTheLastAnswerOfTheStoreIsToldOn(t *testing.T) {
+	start(t, 30, func(net *network, list []*Fleet) {
+		answered := time.Now()
+		list[29].heard(&Status{Member: member(99), Incarnation: 1, StoreAnswered: answered})
+		time.Sleep(900 * time.Millisecond)
+		for i, f := range list {
+			if got := f.StoreAnswered(); !got.Equal(answered) {
+				t.Errorf("daemon %d heard of an answer at %v, want %v", i, got, answered)
+			}
+		}
+		time.Sleep(3 * time.Second)
+		if got := list[0].StoreAnswered(); !got.Equal(answered) {
+			t.Errorf("the answer is told to be %v younger than it is", got.Sub(answered))
+		}
+	})
+}
+
+// Guards against small instances that coordinate for others as often as large
+// ones, against coordinators in another data centre than their endpoints, and
+// against a loss that moves more than the lost daemon's own work.
+func TestLargeAndNearDaemonsComeFirst(t *testing.T) {
+	v := &View{}
+	for i := range 87 {
+		m := member(i)
+		m.DataCenter, m.Millicores = core.DataCenterID(fmt.Sprint("dc", i%5)), 192
+		if i < 10 {
+			m.Millicores = 800
+		}
+		v.Alive = append(v.Alive, m)
+	}
+	const keys = 400
+	large, near, largeNear := 0, 0, 0
+	for i := range keys {
+		key := fmt.Sprint("key", i)
+		first := v.Ranked(key, "")
+		if first[0].Millicores == 800 {
+			large++
+		}
+		m := v.Ranked(key, "dc2")[0]
+		if m.DataCenter == "dc2" {
+			near++
+			if m.Millicores == 800 {
+				largeNear++
+			}
+		}
+		without := &View{Alive: slices.DeleteFunc(slices.Clone(v.Alive), func(m Member) bool { return m.ID == first[1].ID })}
+		if got := without.Ranked(key, "")[0]; got != first[0] {
+			t.Errorf("%s moves from %s to %s when %s is lost", key, first[0].ID, got.ID, first[1].ID)
+		}
+	}
+	if large < keys*6/10 || large > keys*8/10 {
+		t.Errorf("%d of %d keys at the 10 large daemons, want about 70%%", large, keys)
+	}
+	if near < keys*9/10 || largeNear < keys/2 {
+		t.Errorf("%d of %d keys in their data centre, %d at its large daemons", near, keys, largeNear)
+	}
+}
+
+// Guards against a ranking that is kept after the daemons have changed.
+func TestARankingFollowsTheDaemons(t *testing.T) {
+	start(t, 4, func(net *network, list []*Fleet) {
+		first := list[0].View().Ranked("k", "")[0]
+		if first.ID == "d0" {
+			first = list[0].View().Ranked("k", "")[1]
+		}
+		net.set(first.Address, true)
+		time.Sleep(3 * time.Second)
+		for _, m := range list[0].View().Ranked("k", "") {
+			if m.ID == first.ID {
+				t.Errorf("%s is lost and ranked", m.ID)
+			}
+		}
+	})
+}
--- a/internal/app/mirror/mirror.go
+++ b/internal/app/mirror/mirror.go
@@ -25,8 +25,15 @@
 	minPace = 100 * time.Millisecond
 	// peerPoll is how often the versions of peers are looked at.
 	peerPoll = 100 * time.Millisecond
-	// emptyPause is the time after a pull that brought nothing.
-	emptyPause = time.Second
+	// emptyPause is the time after a pull that brought nothing, pullTimeout bounds a
+	// pull and pullPause is the time after one that failed. Another daemon is asked
+	// then, or the store, so a silent one must not take up the bound on configuration.
+	emptyPause  = time.Second
+	pullTimeout = 500 * time.Millisecond
+	pullPause   = 200 * time.Millisecond
+	// aloneDelay spaces the calls to a failing store of daemons that read it only
+	// because they hear of no answer: in an outage these are all daemons.
+	aloneDelay = time.Second
 	// maxTombstones bounds the deletions that are kept for other daemons.
 	maxTombstones = 1024
 )
@@ -99,6 +106,8 @@
 	// asks says that this daemon reads the store itself.
 	told atomic.Int64
 	asks atomic.Bool
+	// answered is when the store last answered this daemon, Unix nanoseconds.
+	answered atomic.Int64
 }
 
 // NewTable returns an empty copy. changed may be nil.
@@ -122,6 +131,16 @@
 // StoreOK says whether the last call to the store succeeded.
 func (t *Table) StoreOK() bool { return t.storeOK.Load() }
 
+// Answered returns when the store last answered a call of this daemon for the
+// table, the zero time if it has not.
+func (t *Table) Answered() time.Time {
+	ns := t.answered.Load()
+	if ns == 0 {
+		return time.Time{}
+	}
+	return time.Unix(0, ns)
+}
+
 // OutageEnd returns when the store last came back after an outage: now if it has
 // not, the zero time if there was none. A daemon that does not read the store
 // itself goes by what the daemon told from which it has its rows.
@@ -251,24 +270,50 @@
 	// connection to the store early, by a short Wait; nil means that it is. The
 	// others hear of a newer version from the readers.
 	Reader func() bool
+	// Alone says that no daemon is heard of which the store answers, so that this
+	// daemon reads the store as a reader does; nil means that it never is.
+	Alone func() bool
+
+	// overdue says that a daemon that does not read the store did not get a change
+	// from the daemon that has it.
+	overdue atomic.Bool
 }
 
-// wait returns how long a call may wait for a change.
-func (f *Follower) wait() time.Duration {
-	if f.IdleWait > 0 && f.Reader != nil && !f.Reader() {
-		return f.IdleWait
+func (f *Follower) alone() bool { return f.Alone != nil && f.Alone() }
+
+// wait returns how long a call may wait for a change, and whether this daemon
+// leaves it to others to notice a silent connection.
+func (f *Follower) wait() (wait time.Duration, idle bool) {
+	if f.IdleWait > 0 && f.Reader != nil && !f.Reader() && !f.alone() {
+		return f.IdleWait, true
 	}
-	return f.Wait
+	return f.Wait, false
 }
 
 // Run follows the table until ctx ends.
 func (f *Follower) Run(ctx context.Context) {
 	go f.followPeers(ctx)
 	var lost time.Time
+	regained := func() {
+		f.Table.recovered.Store(time.Now().UnixNano())
+		f.Table.storeOK.Store(true)
+		f.Events.StoreRegained(f.Table.name, time.Since(lost))
+		lost = time.Time{}
+	}
 	for ctx.Err() == nil {
 		asks := f.Asks == nil || f.Asks()
+		turn := asks
+		asks = asks || f.alone()
 		f.Table.asks.Store(asks)
 		if !asks && f.Table.Snapshot().Version > 0 {
+			if !lost.IsZero() {
+				// The store answers others again, which tell what they read.
+				regained()
+			}
+			if f.overdue.Swap(false) {
+				// Whether the store answers this daemon, only its readers tell.
+				_ = f.step(ctx, true)
+			}
 			sleep(ctx, peerPoll)
 			continue
 		}
@@ -282,14 +327,14 @@
 			f.Table.storeOK.Store(false)
 			f.Events.StoreLost(f.Table.name, err)
 		case err == nil && !lost.IsZero():
-			f.Table.recovered.Store(time.Now().UnixNano())
-			f.Table.storeOK.Store(true)
-			f.Events.StoreRegained(f.Table.name, time.Since(lost))
-			lost = time.Time{}
+			regained()
 		}
-		if err != nil {
+		switch {
+		case err != nil && !turn:
+			sleep(ctx, aloneDelay)
+		case err != nil:
 			sleep(ctx, retryDelay)
-		} else {
+		default:
 			// A store that answers at once although nothing changed is not pressed.
 			sleep(ctx, minPace-time.Since(began))
 		}
@@ -302,15 +347,21 @@
 func (f *Follower) step(ctx context.Context, recovering bool) error {
 	s := f.Table.Snapshot()
 	if s.Version > 0 {
-		wait := f.wait()
+		wait, idle := f.wait()
 		if recovering {
 			wait = 0
 		}
 		call, cancel := context.WithTimeout(ctx, wait+callSlack)
+		if idle {
+			go f.endWhenAlone(call, cancel)
+		}
 		b, err := f.Store.Changes(call, f.Table.name, s.Version, wait)
 		cancel()
 		if err == nil {
-			f.Table.Apply(b)
+			f.answered(b)
+			return nil
+		}
+		if idle && f.alone() {
 			return nil
 		}
 		if errors.Cause(err) != ErrHistoryLost {
@@ -324,10 +375,27 @@
 		return errors.Annotatef(err, "read of table %s", f.Table.name)
 	}
 	b.Full = true
-	f.Table.Apply(b)
+	f.answered(b)
 	return nil
 }
 
+func (f *Follower) answered(b Batch) {
+	f.Table.answered.Store(time.Now().UnixNano())
+	f.Table.Apply(b)
+}
+
+// endWhenAlone ends a long call when this daemon hears of no answer of the store
+// any more: its own connection may be silent too.
+func (f *Follower) endWhenAlone(call context.Context, cancel context.CancelFunc) {
+	for call.Err() == nil {
+		if f.alone() {
+			cancel()
+			return
+		}
+		sleep(call, peerPoll)
+	}
+}
+
 // followPeers fetches versions that other daemons have and this one lacks.
 func (f *Follower) followPeers(ctx context.Context) {
 	var again time.Time
@@ -337,15 +405,18 @@
 		if f.Peers.Newest(f.Table.name) <= have || (f.Table.StoreOK() && have > 0 && !f.FollowPeers) || time.Now().Before(again) {
 			continue
 		}
-		call, cancel := context.WithTimeout(ctx, callSlack)
+		call, cancel := context.WithTimeout(ctx, pullTimeout)
 		b, err := f.Peers.Pull(call, f.Table.name, have)
 		cancel()
-		if err == nil {
-			f.Table.tell(b.OutageEnd)
-			f.Table.Apply(b)
+		if err != nil {
+			f.overdue.Store(true)
+			again = time.Now().Add(pullPause)
+			continue
 		}
-		if err != nil || f.Table.Snapshot().Version == have {
-			// The peer does not answer, or it has forgotten what it knew.
+		f.Table.tell(b.OutageEnd)
+		f.Table.Apply(b)
+		if f.Table.Snapshot().Version == have {
+			// The peer has forgotten what it knew.
 			again = time.Now().Add(emptyPause)
 		}
 	}
--- a/internal/app/mirror/mirror_test.go
+++ b/internal/app/mirror/mirror_test.go
@@ -351,3 +351,93 @@
 		cancel()
 	})
 }
+
+// Guards against a daemon that learns of a change only when it has found all
+// readers of the store to be lost: in a large fleet that takes as long as a
+// configuration may take to be in force.
+func TestADaemonThatHearsOfNoAnswerReadsTheStore(t *testing.T) {
+	for name, asked := range map[string]bool{"has its rows from others": false, "waits long, on a silent call": true} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				ctx, cancel := context.WithCancel(t.Context())
+				s, table := &store{}, NewTable("t", nil)
+				s.put(row("a", 1))
+				var alone, asks atomic.Bool
+				asks.Store(asked)
+				go (&Follower{Table: table, Store: s, Peers: &peers{}, Events: &events{}, Wait: time.Second, IdleWait: 20 * time.Second, FollowPeers: true,
+					Asks: asks.Load, Reader: func() bool { return false }, Alone: alone.Load}).Run(ctx)
+				time.Sleep(500 * time.Millisecond)
+				alone.Store(true)
+				s.put(row("b", 2))
+				time.Sleep(300 * time.Millisecond)
+				if got := keys(table.Snapshot()); got != "a1 b2 " {
+					t.Errorf("0.3 s after the daemon heard of no answer: %s", got)
+				}
+				// A store that is down for all is not pressed by all.
+				s.mu.Lock()
+				s.down, s.calls = true, 0
+				s.mu.Unlock()
+				asks.Store(false)
+				time.Sleep(10 * time.Second)
+				s.mu.Lock()
+				if s.calls > 11 {
+					t.Errorf("%d calls in 10 s of an outage", s.calls)
+				}
+				s.down = false
+				s.mu.Unlock()
+				alone.Store(false)
+				time.Sleep(2 * time.Second)
+				if !table.StoreOK() {
+					t.Error("the outage goes on for a daemon that has its rows from others")
+				}
+				cancel()
+				synctest.Wait()
+			})
+		})
+	}
+}
+
+// silent is a peer that says that it has a change and at first does not hand it
+// over.
+type silent struct {
+	peers
+	first int32
+	pulls atomic.Int32
+}
+
+func (p *silent) Pull(ctx context.Context, table string, after int64) (Batch, error) {
+	if p.pulls.Add(1) > p.first {
+		return p.peers.Pull(ctx, table, after)
+	}
+	<-ctx.Done()
+	return Batch{}, ctx.Err()
+}
+
+// Guards against a change that comes late because the daemon that was asked for it
+// does not answer: another one may, or the store.
+func TestASilentPeerDelaysAChangeLittle(t *testing.T) {
+	for name, c := range map[string]struct {
+		silent int32
+		store  *store
+	}{
+		"the next one answers": {1, &store{down: true}},
+		"the store answers":    {100, &store{version: 2, rows: []Row{row("a", 2)}}},
+	} {
+		synctest.Test(t, func(t *testing.T) {
+			ctx, cancel := context.WithCancel(t.Context())
+			p, table, watcher := &silent{first: c.silent}, NewTable("t", nil), NewTable("t", nil)
+			table.Apply(Batch{Rows: []Row{row("a", 1)}, Version: 1, Full: true})
+			watcher.Apply(Batch{Rows: []Row{row("a", 2)}, Version: 2, Full: true})
+			p.table.Store(watcher)
+			e := &events{}
+			go (&Follower{Table: table, Store: c.store, Peers: p, Events: e, Wait: time.Second, FollowPeers: true,
+				Asks: func() bool { return false }}).Run(ctx)
+			time.Sleep(time.Second)
+			if got := table.Snapshot().Version; got != 2 || e.lost.Load() != 0 {
+				t.Errorf("%s: version %d a second after the change, %d losses of the store told", name, got, e.lost.Load())
+			}
+			cancel()
+			synctest.Wait()
+		})
+	}
+}
--- a/internal/app/stagework/client.go
+++ b/internal/app/stagework/client.go
@@ -2,8 +2,8 @@
 
 import (
 	"context"
-	"fmt"
 	"slices"
+	"strconv"
 	"sync"
 	"time"
 
@@ -79,9 +79,20 @@
 	}
 }
 
-// owner returns the daemons that may coordinate a group, first choice first.
+// owner returns the daemons that may coordinate a group, first choice first: those
+// of its data centre, if it has one, and then the others.
 func (c *Client) owner(pool core.PoolID, group int) []fleet.Member {
-	return c.fleet.View().Ranked(fmt.Sprintf("%s/%d", pool, group))
+	return c.ranked(pool, group, c.groupsOf(pool))
+}
+
+func (c *Client) ranked(pool core.PoolID, group int, groups []grouping.Group) []fleet.Member {
+	near := core.DataCenterID("")
+	for _, g := range groups {
+		if g.ID == group && len(g.DataCenters) == 1 {
+			near = core.DataCenterID(g.DataCenters[0])
+		}
+	}
+	return c.fleet.View().Ranked(string(pool)+"/"+strconv.Itoa(group), near)
 }
 
 // Wait returns how long a new piece of the rank waits in a pool, as the
@@ -229,7 +240,7 @@
 	batches := map[batch][]Result{}
 	for pool, results := range pending {
 		for _, r := range results {
-			list := c.owner(pool, c.of[pool][r.Endpoint])
+			list := c.ranked(pool, c.of[pool][r.Endpoint], c.groups[pool])
 			to := c.self
 			if len(list) > 0 {
 				to = list[0]
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -55,6 +55,12 @@
 	// work for two seconds.
 	listWait   = time.Second
 	daemonWait = 5 * time.Second
+	// aloneAfter is how long no answer of the store is heard of before a daemon
+	// reads the store itself. Readers have one each listWait, and it is told within
+	// two exchanges. A change then shows within the 3 s that are allowed also where
+	// all readers are out of reach. It does so for aloneFor at least.
+	aloneAfter = 2 * time.Second
+	aloneFor   = 10 * time.Second
 	// lapsedBeats is the number of heartbeats after which the platform drops an
 	// endpoint's entry. An outage of the store in which entries lapse has to be
 	// noticed, so a wait for a change of the list is shorter, by lapseMargin.
@@ -80,6 +86,8 @@
 // Daemon is a running daemon.
 type Daemon struct {
 	path string
+	// born is when the daemon started.
+	born time.Time
 	s    *settings.Hosted
 	log  zerolog.Logger
 	tel  *telemetry.Hosted
@@ -97,6 +105,7 @@
 	stopping atomic.Bool
 	shutdown chan struct{}
 
+	solitude              solitude
 	config, list, daemons *mirror.Table
 	update                sync.Mutex
 }
@@ -112,11 +121,12 @@
 	runtime.GOMAXPROCS(s.Cores)
 	debug.SetGCPercent(gcPercent)
 	debug.SetMemoryLimit(int64(float64(s.MemoryMB) * memoryShare * (1 << 20)))
-	d := &Daemon{path: path, s: s, log: log, metrics: metrics.NewSet(), shutdown: make(chan struct{}, 1)}
+	d := &Daemon{path: path, born: time.Now(), s: s, log: log, metrics: metrics.NewSet(), shutdown: make(chan struct{}, 1)}
 	d.tel = telemetry.NewHosted(log, d.metrics, s.Log.LinesPerS)
 	d.store = platform.NewStore(s.Store)
 	d.rpc = fleetrpc.NewClient(time.Now)
-	self := fleet.Member{ID: core.InstanceID(s.Instance), Address: s.Listen.AdvertisePeers, DataCenter: core.DataCenterID(s.DataCenter)}
+	self := fleet.Member{ID: core.InstanceID(s.Instance), Address: s.Listen.AdvertisePeers, DataCenter: core.DataCenterID(s.DataCenter),
+		Millicores: int(1000 * s.CPUShare * float64(s.Cores))}
 	d.fleet = fleet.New(fleet.Options{Self: self, Transport: d.rpc, Source: d.status, Events: d.tel, OnStatus: d.learn, Now: time.Now})
 	d.budgets = newBudgets(repeats.Limits{Ratio: s.Repeats.Ratio, Slack: s.Repeats.Slack, Window: seconds(s.Repeats.WindowS)}, d.sharers)
 	calls := platform.NewEndpointClient(time.Now)
@@ -142,8 +152,11 @@
 // status is what this daemon tells the others.
 func (d *Daemon) status() *fleet.Status {
 	s := &fleet.Status{Tables: map[string]int64{}, Loads: d.forward.Loads(), Suspects: d.forward.Suspects()}
-	for _, t := range []*mirror.Table{d.config, d.list, d.daemons} {
+	for _, t := range d.tables() {
 		s.Tables[t.Name()] = t.Snapshot().Changed
+		if at := t.Answered(); at.After(s.StoreAnswered) {
+			s.StoreAnswered = at
+		}
 	}
 	for group, w := range d.coord.Waits() {
 		s.Waits = append(s.Waits, fleet.GroupWait{StageGroup: group, Wait: w})
@@ -230,7 +243,7 @@
 func (d *Daemon) Run(ctx context.Context) error {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	d.log.Info().Str("dc", d.s.DataCenter).Int("cores", d.s.Cores).Int("memory_mb", d.s.MemoryMB).Msg("started")
+	d.log.Info().Str("dc", d.s.DataCenter).Int("cores", d.s.Cores).Float64("cpu_share", d.s.CPUShare).Int("memory_mb", d.s.MemoryMB).Msg("started")
 	callers := &http.Server{Handler: &platform.Callers{Service: d.forward, MaxBody: maxBody, Now: time.Now}, MaxHeaderBytes: maxHeader,
 		ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}
 	ready := &http.Server{Handler: platform.Ready(d.ready), ReadHeaderTimeout: headerTimeout}
@@ -286,6 +299,7 @@
 		// A daemon that stops ranks nowhere; if all stop at once, each asks.
 		f.Asks = func() bool { return d.stopping.Load() || d.ranks(watchers) }
 		f.Reader = func() bool { return d.ranks(readers) }
+		f.Alone = d.alone
 		go f.Run(ctx)
 	}
 }
@@ -300,7 +314,7 @@
 // ranks says whether this daemon is among the first n for reading the store. All
 // daemons agree on them as long as they see the same daemons alive.
 func (d *Daemon) ranks(n int) bool {
-	ranked := d.fleet.View().Ranked(daemonTable)
+	ranked := d.fleet.View().Ranked(daemonTable, "")
 	for _, m := range ranked[:min(n, len(ranked))] {
 		if string(m.ID) == d.s.Instance {
 			return true
@@ -309,6 +323,29 @@
 	return false
 }
 
+// alone says whether this daemon reads the store because it hears of no answer.
+func (d *Daemon) alone() bool {
+	now := time.Now()
+	return d.solitude.at(now, d.storeAnswered())
+}
+
+// storeAnswered returns when the store last answered a daemon, this one included.
+// Until it hears of an answer, a daemon that starts counts its start as one.
+func (d *Daemon) storeAnswered() time.Time {
+	last := d.born
+	if at := d.fleet.StoreAnswered(); at.After(last) {
+		last = at
+	}
+	for _, t := range d.tables() {
+		if at := t.Answered(); at.After(last) {
+			last = at
+		}
+	}
+	return last
+}
+
+func (d *Daemon) tables() []*mirror.Table { return []*mirror.Table{d.config, d.list, d.daemons} }
+
 // register lists the daemon in the store.
 func (d *Daemon) register(ctx context.Context) {
 	row, err := json.Marshal(daemonRow{Address: d.s.Listen.AdvertisePeers, DataCenter: d.s.DataCenter})
--- a/internal/edge/shared.go
+++ b/internal/edge/shared.go
@@ -78,6 +78,25 @@
 	return p.rpc.Pull(ctx, p.fleet.View().Newest[table].Address, table, after)
 }
 
+// solitude decides when a daemon reads the store because it hears of no answer of
+// the store to others. It keeps on for aloneFor, since its own answers would
+// otherwise end it at once.
+type solitude struct {
+	mu    sync.Mutex
+	until time.Time
+}
+
+// at returns whether the daemon reads the store at the time now. answered is the
+// last answer that it knows of.
+func (s *solitude) at(now, answered time.Time) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if now.Sub(answered) > aloneAfter {
+		s.until = now.Add(aloneFor)
+	}
+	return now.Before(s.until)
+}
+
 const (
 	// cleanInterval is how often daemons that are gone are looked for, goneAfter
 	// how long a listed daemon is unheard before its entry is removed: much longer
--- a/internal/edge/shared_test.go
+++ b/internal/edge/shared_test.go
@@ -65,3 +65,24 @@
 	cancel()
 	linger(ended, lingerTime, time.Now, func(time.Duration) { t.Error("waits after the time to stop is over") })
 }
+
+// Guards against a daemon that waits for readers of the store out of its reach
+// until a configuration is overdue, and against one that stops and starts reading
+// with each of its own answers.
+func TestADaemonIsAloneSoonAndForAWhile(t *testing.T) {
+	var s solitude
+	start := time.Now()
+	at := func(d time.Duration) time.Time { return start.Add(d) }
+	if s.at(at(1900*time.Millisecond), start) {
+		t.Error("alone 1.9 s after an answer")
+	}
+	if !s.at(at(2100*time.Millisecond), start) {
+		t.Error("not alone 2.1 s after the last answer")
+	}
+	if !s.at(at(6*time.Second), at(6*time.Second)) {
+		t.Error("the daemon's own answer ends its reading")
+	}
+	if s.at(at(13*time.Second), at(13*time.Second)) {
+		t.Error("still alone long after others are heard")
+	}
+}
--- a/internal/settings/hosted.go
+++ b/internal/settings/hosted.go
@@ -23,6 +23,9 @@
 	// Cores and MemoryMB are what the process may use.
 	Cores    int `json:"cores"`
 	MemoryMB int `json:"memory_mb"`
+	// CPUShare is the part of each core that the process gets. Work for other
+	// daemons goes by preference to those with much of it. Default: 1.
+	CPUShare float64 `json:"cpu_share,omitempty"`
 	// EndpointHeartbeatMs is the time between two heartbeats of an endpoint in the
 	// platform's list, in ms. Default: 1000 ms.
 	EndpointHeartbeatMs int `json:"endpoint_heartbeat_ms,omitempty"`
@@ -100,6 +103,9 @@
 	if h.Log.LinesPerS == 0 {
 		h.Log.LinesPerS = defaultLinesPerS
 	}
+	if h.CPUShare == 0 {
+		h.CPUShare = 1
+	}
 	if err := h.check(doc); err != nil {
 		return nil, err
 	}
@@ -135,6 +141,8 @@
 	switch {
 	case h.Cores < 1:
 		return doc.Errorf("cores", fmt.Sprint(h.Cores), "1 or more")
+	case h.CPUShare < 0 || h.CPUShare > 1:
+		return doc.Errorf("cpu_share", fmt.Sprint(h.CPUShare), "more than 0, at most 1")
 	case h.MemoryMB < 1:
 		return doc.Errorf("memory_mb", fmt.Sprint(h.MemoryMB), "1 or more, in MB")
 	case h.EndpointHeartbeatMs < 1:
--- a/internal/settings/hosted_test.go
+++ b/internal/settings/hosted_test.go
@@ -35,6 +35,8 @@
 		{`"store": "10.0.0.9:1"`, `"store": "10.0.0.9"`, "store"},
 		{`["10.0.0.2:3"]`, `["x"]`, "peers[0]"},
 		{`"cores": 1`, `"cores": 0`, "cores"},
+		{`"cores": 1`, `"cores": 1, "cpu_share": 1.5`, "cpu_share"},
+		{`"cores": 1`, `"cores": 1, "cpu_share": -0.2`, "cpu_share"},
 		{`"memory_mb": 284`, `"memory_mb": -1`, "memory_mb"},
 		{`"window_s": 10`, `"window_s": 0`, "repeats.window_s"},
 		{`"ratio": 0.2`, `"ratio": -1`, "repeats"},
