Shorten calls for urgent pieces, and free results where room is scarce

Calls to club-portal held 37 of 66 pieces while 200 to 400 waited: there was no room for more results, since results stay until the next stage has ended. They are freed early where room is scarce, but that was judged by the group of the pool with the shortest wait.

Ruled out: processor time (0.074 of a core on average), results between data centres, slow endpoints (calls took what was expected within 2%).

Change: less urgent pieces make a call no longer than the urgent ones in it have time for, which leave later stages their share; a call is never held below half of its size, where it does two thirds of the work, and a piece that is late anyway sets no bound. Room is judged by the group of the endpoint that keeps the result.

--- a/internal/adapter/fleetrpc/convert.go
+++ b/internal/adapter/fleetrpc/convert.go
@@ -102,7 +102,7 @@
 		Stage: int32(t.Stage), Pieces: int32(t.Pieces), Key: t.Key, Inputs: t.Inputs, Rank: int32(t.Rank),
 		StartInUs: t.Start.Sub(now).Microseconds(), DeadlineInUs: t.Deadline.Sub(now).Microseconds(),
 		ResultBytes: int64(t.ResultBytes), Near: string(t.Near), Repeat: t.Repeat, Holds: t.Holds,
-		Taken: resultsToPB(t.Taken), TakenPool: string(t.TakenPool)}
+		Taken: resultsToPB(t.Taken), TakenPool: string(t.TakenPool), Later: int32(t.Later)}
 }
 
 func taskFromPB(now time.Time, t *fleetpb.Task) (group int, task *stagework.Task) {
@@ -111,7 +111,7 @@
 		Account: core.AccountID(t.GetAccount()), Stage: int(t.GetStage()), Pieces: int(t.GetPieces()), Key: t.GetKey(),
 		Inputs: t.GetInputs(), Rank: int(t.GetRank()), Start: in(t.GetStartInUs()), Deadline: in(t.GetDeadlineInUs()),
 		ResultBytes: int(t.GetResultBytes()), Near: core.DataCenterID(t.GetNear()), Repeat: t.GetRepeat(), Holds: t.GetHolds(),
-		Taken: resultsFromPB(t.GetTaken()), TakenPool: core.PoolID(t.GetTakenPool())}
+		Taken: resultsFromPB(t.GetTaken()), TakenPool: core.PoolID(t.GetTakenPool()), Later: int(t.GetLater())}
 }
 
 func resultsToPB(list []stagework.Result) []*fleetpb.Result {
--- a/internal/app/forward/plan.go
+++ b/internal/app/forward/plan.go
@@ -21,6 +21,8 @@
 	// own is the expected time of each stage's call, tail the time from the start
 	// of the call to the first event of the answer when nothing waits.
 	own, tail []time.Duration
+	// later is the number of stages that follow each stage, one after the other.
+	later []int
 	// last is the time from the last stage to the first event.
 	last time.Duration
 	// total is the longest way through all stages to the first event, waits included.
@@ -33,13 +35,16 @@
 // last stage to the first event, wait tells the present wait of a stage.
 func makePlan(r *catalog.Route, s *catalog.Snapshot, pieces []int, last time.Duration, wait func(stage int) time.Duration) plan {
 	n := len(r.Stages)
-	p := plan{own: make([]time.Duration, n), tail: make([]time.Duration, n), last: last, total: last}
+	p := plan{own: make([]time.Duration, n), tail: make([]time.Duration, n), later: make([]int, n), last: last, total: last}
 	reach := make([]time.Duration, n)
 	for i := n - 1; i >= 0; i-- {
 		p.own[i] = callTime(s, r.Stages[i], count(pieces, i))
 		after := last
 		for j := i + 1; j < n; j++ {
 			for _, a := range r.Stages[j].After {
+				if a == i && count(pieces, j) > 0 {
+					p.later[i] = max(p.later[i], p.later[j]+1)
+				}
 				if a == i {
 					// A call that is in progress delays the next stage by half its time on average.
 					after = max(after, p.tail[j]+max(p.own[j]/2, wait(j))+transferTime)
--- a/internal/app/forward/stages.go
+++ b/internal/app/forward/stages.go
@@ -157,7 +157,7 @@
 func (f *Forwarder) stageTask(ctx context.Context, x *exchange, i int, results [][]stagework.Result, done []chan struct{}, users []int) (*stagework.Task, error) {
 	s := x.route.Stages[i]
 	t := &stagework.Task{Pool: s.Pool, Request: x.req.ID, Account: x.account, Stage: i, Pieces: x.req.Pieces[i], Rank: x.rank,
-		ResultBytes: s.ResultBytes, Near: x.near, Repeat: x.stageRuns > 1,
+		ResultBytes: s.ResultBytes, Near: x.near, Repeat: x.stageRuns > 1, Later: x.plan.later[i],
 		Start: x.target.Add(-x.plan.tail[i]), Deadline: x.begin.Add(-x.plan.tail[i])}
 	weight := map[core.DataCenterID]int{}
 	total := 0
--- a/internal/app/stagework/call.go
+++ b/internal/app/stagework/call.go
@@ -127,11 +127,16 @@
 // fetched frees the inputs of tasks all of whose pieces are in calls that have
 // fetched them: an endpoint does so when the call's turn comes.
 func (p *pool) fetched(c *call) {
-	known := map[core.PoolID]bool{}
+	type place struct {
+		pool     core.PoolID
+		endpoint core.InstanceID
+	}
+	scarce := map[place]bool{}
 	for _, it := range c.items {
-		if id := it.task.TakenPool; id != "" {
-			if _, ok := known[id]; !ok {
-				known[id] = p.c.wait(id, lastRank) > scarceWait
+		for _, r := range it.task.Taken {
+			at := place{it.task.TakenPool, r.Endpoint}
+			if _, ok := scarce[at]; !ok {
+				scarce[at] = p.c.roomWait(at.pool, r) > scarceWait
 			}
 		}
 	}
@@ -139,7 +144,7 @@
 	defer p.mu.Unlock()
 	for _, it := range c.items {
 		t := it.task
-		if it.fetched || t.ended || len(t.Taken) == 0 || !known[t.TakenPool] {
+		if it.fetched || t.ended || !slices.ContainsFunc(t.Taken, func(r Result) bool { return scarce[place{t.TakenPool, r.Endpoint}] }) {
 			continue
 		}
 		it.fetched = true
--- a/internal/app/stagework/client.go
+++ b/internal/app/stagework/client.go
@@ -42,7 +42,7 @@
 func NewClient(f *fleet.Fleet, self fleet.Member, local *Coordinator, remote Coordinators, ev Events, now func() time.Time) *Client {
 	c := &Client{fleet: f, self: self, local: local, remote: remote, events: ev, now: now,
 		groups: map[core.PoolID][]grouping.Group{}, of: map[core.PoolID]map[core.InstanceID]int{}, pending: map[core.PoolID][]Result{}}
-	local.release, local.wait = c.Release, c.Wait
+	local.release, local.roomWait = c.Release, c.roomWait
 	return c
 }
 
@@ -107,6 +107,20 @@
 	return max(least, 0)
 }
 
+// roomWait returns how long the least urgent pieces wait in the group of the
+// endpoint that keeps a result: how much its room is wanted.
+func (c *Client) roomWait(pool core.PoolID, r Result) time.Duration {
+	c.mu.Lock()
+	groups, id := c.groups[pool], c.of[pool][r.Endpoint]
+	c.mu.Unlock()
+	for _, g := range groups {
+		if g.ID == id {
+			return c.groupWait(pool, g, lastRank)
+		}
+	}
+	return 0
+}
+
 func (c *Client) groupsOf(pool core.PoolID) []grouping.Group {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/internal/app/stagework/coordinator.go
+++ b/internal/app/stagework/coordinator.go
@@ -49,7 +49,7 @@
 	hopeless = 0.6
 	// fullPause is how long an endpoint without room for a result gets no large one.
 	fullPause = 150 * time.Millisecond
-	// scarceWait is the wait in a pool from which on its results are freed as soon
+	// scarceWait is the wait in a group from which on its results are freed as soon
 	// as they are fetched. Freed inputs cannot be used again if a call fails, so
 	// they are kept while room is not scarce.
 	scarceWait = 100 * time.Millisecond
@@ -74,9 +74,10 @@
 	budget    Budget
 	now       func() time.Time
 	ctx       context.Context
-	// release frees results of other pools, wait tells how long their pieces wait.
-	release func(core.PoolID, []Result)
-	wait    func(core.PoolID, int) time.Duration
+	// release frees results of other pools, roomWait tells how long pieces wait for
+	// room where a result is kept.
+	release  func(core.PoolID, []Result)
+	roomWait func(core.PoolID, Result) time.Duration
 
 	mu    sync.Mutex
 	pools map[fleet.StageGroup]*pool
@@ -84,7 +85,7 @@
 
 // NewCoordinator returns a coordinator whose calls end with ctx.
 func NewCoordinator(ctx context.Context, e Endpoints, ev Events, b Budget, now func() time.Time) *Coordinator {
-	return &Coordinator{endpoints: e, events: ev, budget: b, now: now, ctx: ctx, release: func(core.PoolID, []Result) {}, wait: func(core.PoolID, int) time.Duration { return 0 }, pools: map[fleet.StageGroup]*pool{}}
+	return &Coordinator{endpoints: e, events: ev, budget: b, now: now, ctx: ctx, release: func(core.PoolID, []Result) {}, roomWait: func(core.PoolID, Result) time.Duration { return 0 }, pools: map[fleet.StageGroup]*pool{}}
 }
 
 // SetEndpoints replaces the endpoints of a group.
--- a/internal/app/stagework/pool.go
+++ b/internal/app/stagework/pool.go
@@ -106,7 +106,7 @@
 	p.arrivals.add(now, t.Rank, t.Pieces)
 	for i := range t.Pieces {
 		p.queue = append(p.queue, &item{task: tk, index: i, queued: true, Piece: batching.Piece{Rank: t.Rank, Start: t.Start,
-			Deadline: t.Deadline, Queued: now, Bytes: t.ResultBytes, Group: p.groups, Account: string(t.Account), Near: string(t.Near), Holds: t.Holds}})
+			Deadline: t.Deadline, Queued: now, Bytes: t.ResultBytes, Group: p.groups, Account: string(t.Account), Near: string(t.Near), Holds: t.Holds, Own: t.Pieces, Later: t.Later}})
 	}
 	p.schedule()
 	p.mu.Unlock()
@@ -188,7 +188,7 @@
 	if now.Before(r.fullUntil) {
 		room = min(room, p.limits.ResultRoom/fullShare, r.refused-1)
 	}
-	l := batching.Limits{Pieces: p.limits.MaxPieces, Room: room,
+	l := batching.Limits{Pieces: p.limits.MaxPieces, Room: room, PieceTime: p.limits.PieceTime,
 		DataCenter: string(r.entry.DataCenter), Patience: p.expected(p.limits.MaxPieces), Local: func(dc string) bool { return p.local(now, dc) }}
 	if r.slowness(now) > slowFrom && p.hasFaster(now) {
 		// The last measured slowness counts: it decays only to have the endpoint
--- a/internal/app/stagework/ports.go
+++ b/internal/app/stagework/ports.go
@@ -39,6 +39,8 @@
 	// TakenPool their pool. They may be freed once all calls have fetched them.
 	Taken     []Result
 	TakenPool core.PoolID
+	// Later is the number of stages that follow this one, one after the other.
+	Later int
 	// Repeat says that the pieces may have been sent to an endpoint before.
 	Repeat bool
 	// OnStart is called once, before the first piece goes to an endpoint. It must
--- a/internal/decide/batching/batching.go
+++ b/internal/decide/batching/batching.go
@@ -30,6 +30,9 @@
 	// Near is the data centre that holds what the piece takes or where its result
 	// is wanted; empty if that makes no difference.
 	Near string
+	// Own is the number of pieces of the request in this stage, for which Start was
+	// worked out, and Later the number of stages that follow one after the other.
+	Own, Later int
 	// Holds says that results of an earlier stage wait for the piece and take up
 	// room. Such a piece is not put back when it is late: finishing it frees the
 	// room for others.
@@ -78,6 +81,9 @@
 	// Pieces is the largest number of pieces of a call, Room the bytes of results
 	// that the endpoint can still keep.
 	Pieces, Room int
+	// PieceTime is what each piece adds to a call. 0 means that a call's length makes
+	// no piece late.
+	PieceTime time.Duration
 	// Extra is how much longer than usual the endpoint takes. Pieces that would
 	// be late for it are left to other endpoints while these exist.
 	Extra time.Duration
@@ -99,14 +105,35 @@
 // that does not fit.
 const smallPart = 16
 
+// fullPart divides the largest call into one that a piece's latest start may still
+// shorten it to. With the usual call times a call half full does two thirds of
+// the work of a full one in a second.
+const fullPart = 2
+
+// longest returns the largest call in which a piece is in time, and leaves the
+// stages after this one their share of the time to spare. A piece that is not in
+// time in a call of the least length that is worth its cost sets no bound.
+func (l *Limits) longest(now time.Time, p *Piece) int {
+	spare := p.Start.Sub(now)
+	if l.PieceTime <= 0 || spare < 0 {
+		return l.Pieces
+	}
+	least := l.Pieces / fullPart
+	if p.Own+int(spare/l.PieceTime) < least {
+		return l.Pieces
+	}
+	return max(p.Own+int(spare/time.Duration(1+p.Later)/l.PieceTime), least)
+}
+
 // Choose returns the indexes of the pieces of sorted that go into a call now.
 // Once a piece does not fit into the room, only small ones may overtake it, so
-// that it is not kept waiting by a stream of others of its size.
+// that it is not kept waiting by a stream of others of its size. Less urgent
+// pieces make a call no longer than the more urgent ones in it have time for.
 func Choose(now time.Time, sorted []*Piece, l Limits) []int {
 	var out []int
-	room, largest := l.Room, l.Room
+	room, largest, longest := l.Room, l.Room, l.Pieces
 	for i, p := range sorted {
-		if len(out) >= l.Pieces {
+		if len(out) >= longest {
 			break
 		}
 		if l.waits(now, p) {
@@ -121,6 +148,9 @@
 		}
 		room -= p.Bytes
 		out = append(out, i)
+		if n := l.longest(now, p); n > len(out) {
+			longest = min(longest, n)
+		}
 	}
 	return out
 }
--- a/internal/decide/batching/batching_test.go
+++ b/internal/decide/batching/batching_test.go
@@ -118,6 +118,36 @@
 	}
 }
 
+// Pattern: bulk work fills the calls of a stage, and urgent pieces, which a
+// shorter call serves in time, are late by the length of a full one.
+func TestAnUrgentPieceKeepsItsCallShort(t *testing.T) {
+	queue := func(start, later int) []*Piece {
+		list := []*Piece{{Rank: 1, Start: in(start), Own: 1, Later: later}}
+		for range 200 {
+			list = append(list, &Piece{Rank: 2, Start: in(3000), Own: 1})
+		}
+		return list
+	}
+	for _, c := range []struct {
+		name         string
+		start, later int
+		want         int
+	}{
+		{"time for a full call", 300, 0, 100},
+		{"time for 70 pieces", 138, 0, 70},
+		{"the next stage needs half of the time", 138 * 2, 1, 70},
+		{"time for half of a call", 100, 0, 51},
+		{"its share is less than half of a call", 120, 1, 50},
+		{"late in half of a call too", 60, 0, 100},
+		{"late already", -10, 0, 100},
+	} {
+		got := Choose(now, queue(c.start, c.later), Limits{Pieces: 100, Room: 1000, PieceTime: 2 * time.Millisecond})
+		if len(got) != c.want {
+			t.Errorf("%s: %d pieces in the call, want %d", c.name, len(got), c.want)
+		}
+	}
+}
+
 // Pattern: one slow endpoint. It gets only pieces that its slowness does not make late.
 func TestASlowEndpointGetsPiecesWithTime(t *testing.T) {
 	got := Choose(now, []*Piece{{Start: in(100)}, {Start: in(2000)}, {Start: in(-1)}}, Limits{Pieces: 8, Room: 10, Extra: time.Second})
