Refuse at once what the stages' queues would take past its target

What a queue holds beyond the target of its requests raises no throughput; it makes them all late. The wait that decided was the shortest of the pool's groups, while a request goes to the group near its inputs.

Ruled out: fewer calls to the stages (they were 97% busy), a Retry-After that is too short (callers wait a third of their time at most).

Change: a request is let in if the waits of its stages leave it in time, or come to half a second together at most; the waits are those of the groups in reach from its data centre.

--- a/internal/app/forward/fake_test.go
+++ b/internal/app/forward/fake_test.go
@@ -175,7 +175,7 @@
 	w.released += len(r)
 }
 
-func (w *world) Wait(core.PoolID, int) time.Duration { return w.wait }
+func (w *world) Wait(core.PoolID, int, core.DataCenterID) time.Duration { return w.wait }
 
 type quiet struct{}
 
--- a/internal/app/forward/forward.go
+++ b/internal/app/forward/forward.go
@@ -193,7 +193,11 @@
 	if len(x.route.Stages) == 0 {
 		return nil
 	}
-	x.plan = makePlan(x.route, x.snap, x.req.Pieces, f.paces.expect(x.route.Name), func(i int) time.Duration { return f.stages.Wait(x.route.Stages[i].Pool, x.rank) })
+	if c := f.candidates(x, nil); len(c) > 0 {
+		x.near = c[0].Endpoint.DataCenter
+	}
+	x.plan = makePlan(x.route, x.snap, x.req.Pieces, f.paces.expect(x.route.Name),
+		func(i int) time.Duration { return f.stages.Wait(x.route.Stages[i].Pool, x.rank, x.near) })
 	x.last = x.begin.Add(-x.plan.last)
 	// A longer rest than half of the time is not believed: no request of the route
 	// would be let in, and none measured again.
@@ -201,14 +205,12 @@
 	if at := x.deadline.Add(-x.plan.last - rest); at.Before(x.last) {
 		x.last = at
 	}
-	if left := x.last.Sub(f.now()) + x.plan.last; x.plan.total > left {
+	now := f.now()
+	if left := x.last.Sub(now) + x.plan.last; !x.plan.admits(left, x.target.Sub(now)) {
 		// The caller may come back when the queue of now is worked off.
 		return &core.Error{Kind: core.Unavailable, Step: "admission", Ran: core.RanNot, RetryAfter: x.plan.waits,
-			Detail: fmt.Sprintf("the stages' queues are too long for the time left: %d ms expected, %d ms of them waits, %d ms left",
-				x.plan.total.Milliseconds(), x.plan.waits.Milliseconds(), left.Milliseconds())}
-	}
-	if c := f.candidates(x, nil); len(c) > 0 {
-		x.near = c[0].Endpoint.DataCenter
+			Detail: fmt.Sprintf("the stages' queues are too long for the time left: %d ms expected, %d ms without waits, %d ms left, %d ms to be in time",
+				x.plan.total.Milliseconds(), x.plan.idle.Milliseconds(), left.Milliseconds(), x.target.Sub(now).Milliseconds())}
 	}
 	return f.stagesOf(ctx, x)
 }
--- a/internal/app/forward/plan.go
+++ b/internal/app/forward/plan.go
@@ -12,6 +12,10 @@
 	firstEventTime = 200 * time.Millisecond
 	// transferTime is assumed for handing pieces on and back.
 	transferTime = 15 * time.Millisecond
+	// minQueue is the wait in the stages' queues that a request is let in with, even
+	// if it takes the answer past its target: waits are told a few times a second,
+	// and with none in the queues endpoints would stand idle.
+	minQueue = 500 * time.Millisecond
 	// minRemaining is the time below which no work is started.
 	minRemaining = 30 * time.Millisecond
 )
@@ -25,8 +29,9 @@
 	later []int
 	// last is the time from the last stage to the first event.
 	last time.Duration
-	// total is the longest way through all stages to the first event, waits included.
-	total time.Duration
+	// total is the longest way through all stages to the first event, waits included,
+	// idle the longest one without waits.
+	total, idle time.Duration
 	// waits is the longest wait of a stage.
 	waits time.Duration
 }
@@ -35,8 +40,8 @@
 // last stage to the first event, wait tells the present wait of a stage.
 func makePlan(r *catalog.Route, s *catalog.Snapshot, pieces []int, last time.Duration, wait func(stage int) time.Duration) plan {
 	n := len(r.Stages)
-	p := plan{own: make([]time.Duration, n), tail: make([]time.Duration, n), later: make([]int, n), last: last, total: last}
-	reach := make([]time.Duration, n)
+	p := plan{own: make([]time.Duration, n), tail: make([]time.Duration, n), later: make([]int, n), last: last, total: last, idle: last}
+	reach, idle := make([]time.Duration, n), make([]time.Duration, n)
 	for i := n - 1; i >= 0; i-- {
 		p.own[i] = callTime(s, r.Stages[i], count(pieces, i))
 		after := last
@@ -57,14 +62,15 @@
 		if count(pieces, i) == 0 {
 			continue
 		}
-		begin := time.Duration(0)
+		begin, free := time.Duration(0), time.Duration(0)
 		for _, a := range st.After {
-			begin = max(begin, reach[a])
+			begin, free = max(begin, reach[a]), max(free, idle[a])
 		}
 		w := wait(i)
 		p.waits = max(p.waits, w)
 		reach[i] = begin + w + p.own[i] + transferTime
-		p.total = max(p.total, reach[i]+last)
+		idle[i] = free + p.own[i] + transferTime
+		p.total, p.idle = max(p.total, reach[i]+last), max(p.idle, idle[i]+last)
 	}
 	return p
 }
@@ -84,3 +90,11 @@
 	}
 	return 0
 }
+
+// admits says whether a request is let in that has left until its answer must
+// begin and inTime until it should. A queue that takes the answer past its target
+// would grow with such requests until it takes all past theirs, and those that it
+// takes past their limit cost earlier stages work for nothing.
+func (p *plan) admits(left, inTime time.Duration) bool {
+	return p.total <= left && p.total-p.idle <= max(inTime-p.idle, minQueue)
+}
--- a/internal/app/forward/ports.go
+++ b/internal/app/forward/ports.go
@@ -85,7 +85,9 @@
 type Stages interface {
 	Run(ctx context.Context, t *stagework.Task) ([]stagework.Result, error)
 	Release(pool core.PoolID, results []stagework.Result)
-	Wait(pool core.PoolID, rank int) time.Duration
+	// Wait returns how long new pieces of the rank wait that are to be made in a data
+	// centre.
+	Wait(pool core.PoolID, rank int, near core.DataCenterID) time.Duration
 }
 
 // Budget bounds repeated calls to a pool.
--- a/internal/app/stagework/client.go
+++ b/internal/app/stagework/client.go
@@ -95,16 +95,10 @@
 	return c.fleet.View().Ranked(string(pool)+"/"+strconv.Itoa(group), near)
 }
 
-// Wait returns how long a new piece of the rank waits in a pool, as the
-// coordinators last told.
-func (c *Client) Wait(pool core.PoolID, rank int) time.Duration {
-	least := time.Duration(-1)
-	for _, g := range c.groupsOf(pool) {
-		if w := c.groupWait(pool, g, rank); least < 0 || w < least {
-			least = w
-		}
-	}
-	return max(least, 0)
+// Wait returns how long a new piece of the rank waits in a pool that is to be made
+// in the data centre near, as the coordinators last told.
+func (c *Client) Wait(pool core.PoolID, rank int, near core.DataCenterID) time.Duration {
+	return grouping.Wait(string(near), c.groupsOf(pool), func(g grouping.Group) time.Duration { return c.groupWait(pool, g, rank) })
 }
 
 // roomWait returns how long the least urgent pieces wait in the group of the
--- a/internal/app/stagework/client_test.go
+++ b/internal/app/stagework/client_test.go
@@ -101,3 +101,31 @@
 		}
 	})
 }
+
+// Guards against results that keep their room in a group where pieces wait for it,
+// because another group of the pool has room: they are freed early only where room
+// is scarce.
+func TestRoomIsScarceByGroup(t *testing.T) {
+	runClient(t, 12, func(w *world, c *Client) {
+		c.SetEndpoints(w.pool(), w.entries())
+		var wg sync.WaitGroup
+		for i := range 200 {
+			wg.Go(func() {
+				task := newTask(fmt.Sprint("r", i), 4, 0, 20*time.Second, 30*time.Second)
+				// No other daemon tells waits, and the group is chosen by them.
+				_, _ = c.local.Submit(w.t.Context(), c.of[testPool]["m1"], task)
+			})
+		}
+		time.Sleep(50 * time.Millisecond)
+		if got := c.roomWait(testPool, Result{Endpoint: "m1"}); got <= scarceWait {
+			t.Errorf("the wait for room at m1 is %v behind 800 pieces", got)
+		}
+		if got := c.roomWait(testPool, Result{Endpoint: "m0"}); got > scarceWait {
+			t.Errorf("the wait for room at m0 is %v, its group is idle", got)
+		}
+		if near, far := c.Wait(testPool, 0, "dc1"), c.Wait(testPool, 0, "dc0"); near <= far {
+			t.Errorf("tasks near the full group wait %v, near the idle one %v", near, far)
+		}
+		wg.Wait()
+	})
+}
--- a/internal/decide/grouping/grouping.go
+++ b/internal/decide/grouping/grouping.go
@@ -127,6 +127,25 @@
 	return first
 }
 
+// Wait returns how long tasks wait for which Choose chooses with one data centre
+// near: as long as in the groups there, or a little longer than elsewhere.
+func Wait(near string, groups []Group, wait func(Group) time.Duration) time.Duration {
+	var local, least time.Duration = -1, -1
+	for _, g := range groups {
+		w := wait(g)
+		if least < 0 || w < least {
+			least = w
+		}
+		if slices.Contains(g.DataCenters, near) && (local < 0 || w < local) {
+			local = w
+		}
+	}
+	if local < 0 {
+		return max(least, 0)
+	}
+	return min(local, least+spillMargin)
+}
+
 // draw returns a group by a key, with the sizes as weights.
 func draw(key string, groups []Group) Group {
 	total := 0
--- a/internal/decide/grouping/grouping_test.go
+++ b/internal/decide/grouping/grouping_test.go
@@ -114,3 +114,19 @@
 		t.Errorf("%d of 3000 tasks leave a group that waits longer; about 11 of 17 should", away)
 	}
 }
+
+// Guards against requests that are let in because some group of a stage has a
+// short queue, and then wait in the long one near their inputs.
+func TestWaitIsThatOfTheGroupsInReach(t *testing.T) {
+	groups := Divide(members(6, 6, 5))
+	waits := map[string]time.Duration{"dc0": 0, "dc1": 100 * time.Millisecond, "dc2": 3 * time.Second}
+	wait := func(g Group) time.Duration { return waits[g.DataCenters[0]] }
+	for near, want := range map[string]time.Duration{"dc0": 0, "dc1": 100 * time.Millisecond, "dc2": spillMargin, "other": 0} {
+		if got := Wait(near, groups, wait); got != want {
+			t.Errorf("near %s: %v, want %v", near, got, want)
+		}
+	}
+	if got := Wait("dc0", nil, wait); got != 0 {
+		t.Errorf("without groups: %v", got)
+	}
+}
