Revert "Begin stages whose results only the end takes near the end"

Room for the large results is not what binds there; the room for those of the second stage is.

Change: taken back, with its test.

--- a/internal/app/forward/plan.go
+++ b/internal/app/forward/plan.go
@@ -12,10 +12,6 @@
 	firstEventTime = 200 * time.Millisecond
 	// transferTime is assumed for handing pieces on and back.
 	transferTime = 15 * time.Millisecond
-	// gateMargin is the time by which a stage that could begin at once ends before
-	// the others of its request. Until these are far enough it is not begun: its
-	// results would take up room meanwhile, and be of no use if the others fail.
-	gateMargin = 50 * time.Millisecond
 	// minQueue is the wait in the stages' queues that a request is let in with, even
 	// if it takes the answer past its target: waits are told a few times a second,
 	// and with none in the queues endpoints would stand idle.
@@ -31,9 +27,6 @@
 	own, tail []time.Duration
 	// later is the number of stages that follow each stage, one after the other.
 	later []int
-	// gate is the stage after which a stage begins that takes nothing and whose
-	// results only the request itself takes, -1 for at once.
-	gate []int
 	// last is the time from the last stage to the first event.
 	last time.Duration
 	// total is the longest way through all stages to the first event, waits included,
@@ -47,12 +40,9 @@
 // last stage to the first event, wait tells the present wait of a stage.
 func makePlan(r *catalog.Route, s *catalog.Snapshot, pieces []int, last time.Duration, wait func(stage int) time.Duration) plan {
 	n := len(r.Stages)
-	p := plan{own: make([]time.Duration, n), tail: make([]time.Duration, n), later: make([]int, n), gate: make([]int, n), last: last, total: last, idle: last}
+	p := plan{own: make([]time.Duration, n), tail: make([]time.Duration, n), later: make([]int, n), last: last, total: last, idle: last}
 	reach, idle := make([]time.Duration, n), make([]time.Duration, n)
-	// rest is the time from the end of a stage to that of the last one.
-	rest := make([]time.Duration, n)
 	for i := n - 1; i >= 0; i-- {
-		p.gate[i] = -1
 		p.own[i] = callTime(s, r.Stages[i], count(pieces, i))
 		after := last
 		for j := i + 1; j < n; j++ {
@@ -67,18 +57,6 @@
 			}
 		}
 		p.tail[i] = p.own[i] + after
-		rest[i] = after - last
-	}
-	for i, st := range r.Stages {
-		if count(pieces, i) == 0 || len(st.After) > 0 || rest[i] > 0 {
-			continue
-		}
-		need := max(wait(i), p.own[i]/2) + p.own[i] + transferTime + gateMargin
-		for g := range r.Stages {
-			if count(pieces, g) > 0 && rest[g] >= need && (p.gate[i] < 0 || rest[g] < rest[p.gate[i]]) {
-				p.gate[i] = g
-			}
-		}
 	}
 	for i, st := range r.Stages {
 		if count(pieces, i) == 0 {
--- a/internal/app/forward/plan_test.go
+++ b/internal/app/forward/plan_test.go
@@ -7,7 +7,6 @@
 	"time"
 
 	"eelgrassgrade/internal/core"
-	"eelgrassgrade/internal/decide/catalog"
 )
 
 // Pattern: overload of the stages. Requests that a queue takes past their target
@@ -49,40 +48,3 @@
 		}
 	})
 }
-
-// Guards against results that take up room from the start of a request although
-// only its end takes them, and that are thrown away if a stage between fails; and
-// against such a stage that is begun too late.
-func TestAStageForTheEndBeginsWhenTheOthersAreNearTheirs(t *testing.T) {
-	ms := time.Millisecond
-	pool := &catalog.Pool{ID: "s", Batching: &catalog.Batching{MaxPieces: 8, CallTime: 200 * ms, PieceTime: ms}}
-	slow := &catalog.Pool{ID: "slow", Batching: &catalog.Batching{MaxPieces: 8, CallTime: 500 * ms, PieceTime: ms}}
-	snap, err := catalog.New(1, nil, []*catalog.Pool{pool, slow}, nil)
-	if err != nil {
-		t.Fatal(err)
-	}
-	chain := []catalog.Stage{{Pool: "s"}, {Pool: "s", After: []int{0}}, {Pool: "s", After: []int{1}}}
-	for _, c := range []struct {
-		name   string
-		last   catalog.Stage
-		pieces []int
-		wait   time.Duration
-		want   int
-	}{
-		{"beside the last two", catalog.Stage{Pool: "s"}, []int{1, 1, 1, 1}, 0, 0},
-		{"longer than the others together", catalog.Stage{Pool: "slow"}, []int{1, 1, 1, 1}, time.Second, -1},
-		{"the others have no pieces", catalog.Stage{Pool: "s"}, []int{0, 0, 0, 1}, 0, -1},
-		{"takes a result itself", catalog.Stage{Pool: "s", After: []int{0}}, []int{1, 1, 1, 1}, 0, -1},
-	} {
-		r := &catalog.Route{Stages: append(slices.Clone(chain), c.last)}
-		got := makePlan(r, snap, c.pieces, 0, func(i int) time.Duration {
-			if i == 3 {
-				return c.wait
-			}
-			return 0
-		})
-		if got.gate[3] != c.want || got.gate[0] != -1 {
-			t.Errorf("%s: gates %v, want %d for the last", c.name, got.gate, c.want)
-		}
-	}
-}
--- a/internal/app/forward/stages.go
+++ b/internal/app/forward/stages.go
@@ -161,13 +161,6 @@
 		Start: x.target.Add(-x.plan.tail[i]), Deadline: x.begin.Add(-x.plan.tail[i])}
 	weight := map[core.DataCenterID]int{}
 	total := 0
-	if g := x.plan.gate[i]; g >= 0 {
-		select {
-		case <-done[g]:
-		case <-ctx.Done():
-			return nil, &core.Error{Kind: core.DeadlineExceeded, Step: "stage", Ran: core.RanNot, Detail: "the time was over between stages", Err: context.Cause(ctx)}
-		}
-	}
 	for _, a := range s.After {
 		select {
 		case <-done[a]:
