Put the change before the daemon is alone in its test

The daemon polls each 100 ms, and at the same moment the test set it alone and then changed the store; asked between the two, the fake store does not answer a wait before its end. Change: the change comes first; the bound of 0.3 s stays. No code changes.

--- a/internal/app/mirror/mirror_test.go
+++ b/internal/app/mirror/mirror_test.go
@@ -367,8 +367,9 @@
 				go (&Follower{Table: table, Store: s, Peers: &peers{}, Events: &events{}, Wait: time.Second, IdleWait: 20 * time.Second, FollowPeers: true,
 					Asks: asks.Load, Reader: func() bool { return false }, Alone: alone.Load}).Run(ctx)
 				time.Sleep(500 * time.Millisecond)
-				alone.Store(true)
+				// The fake store does not answer a wait before its end, so the change comes first.
 				s.put(row("b", 2))
+				alone.Store(true)
 				time.Sleep(300 * time.Millisecond)
 				if got := keys(table.Snapshot()); got != "a1 b2 " {
 					t.Errorf("0.3 s after the daemon heard of no answer: %s", got)
