Ask daemons that are starting again to hold a version or a leave

The peer had not read the store yet, so it did not install the version, answered with version 0, and SpreadConfig gave up at once, as no other peer was left, although it has 1 s. The other two failures, and one more of a status, were calls that gRPC failed at once because the last try to connect met a daemon that was not listening yet.

Ruled out: lost messages and slow peers (the runs ended within 0.1 s).

Change: SpreadConfig and Leave push again each 50 ms within their 1 s; a status waits for its connection. Tests get ports below the range of outgoing connections (internal/testnet). The check and its bound are unchanged.

--- a/internal/adapter/peer/client.go
+++ b/internal/adapter/peer/client.go
@@ -132,9 +132,11 @@
 	return usageFromWire(reply.GetTotals()), nil
 }
 
-// Status implements control.Peers.
+// Status implements control.Peers. It waits for a connection that is being made
+// again, so that a daemon that has just started is not shown as one that does not
+// answer.
 func (c *Client) Status(ctx context.Context, addr string) (control.PeerStatus, error) {
-	reply, err := call(ctx, c, addr, "status", statusTimeout, &pb.StatusRequest{}, pb.PeerClient.Status)
+	reply, err := call(ctx, c, addr, "status", statusTimeout, &pb.StatusRequest{}, pb.PeerClient.Status, grpc.WaitForReady(true))
 	if err != nil {
 		return control.PeerStatus{}, err
 	}
--- a/internal/adapter/peer/peer_test.go
+++ b/internal/adapter/peer/peer_test.go
@@ -24,6 +24,7 @@
 	"eelgrassgrade/internal/decide/limits"
 	"eelgrassgrade/internal/decide/membership"
 	"eelgrassgrade/internal/decide/quarantine"
+	"eelgrassgrade/internal/testnet"
 )
 
 // recorder answers with fixed values and keeps what it was asked.
@@ -196,3 +197,24 @@
 		t.Errorf("connections %v", c.pool.conns)
 	}
 }
+
+// Guards against a status that says a daemon does not answer because the last
+// try to connect to it was made while it started.
+func TestStatusWaitsForAConnection(t *testing.T) {
+	addr := testnet.FreeAddress(t)
+	c := NewClient(ClientOptions{Metrics: metrics.NewSet()})
+	defer c.Close()
+	if _, err := c.Exchange(t.Context(), addr, control.ExchangeRequest{}); err == nil {
+		t.Fatal("an exchange without a peer succeeded")
+	}
+	ln, err := net.Listen("tcp", addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	s := NewServer(&recorder{}, nil, metrics.NewSet())
+	go s.Serve(ln)
+	defer s.Stop(0)
+	if _, err := c.Status(t.Context(), addr); err != nil {
+		t.Errorf("status of a daemon that started a moment ago: %v", err)
+	}
+}
--- a/internal/app/control/leave.go
+++ b/internal/app/control/leave.go
@@ -70,8 +70,12 @@
 	var wg sync.WaitGroup
 	wg.Go(func() { res.Durable = c.record(ctx, id, announced) })
 	confirmed := gather(peers, leaveParallel, func(p core.Instance) bool {
-		_, err := c.push(ctx, p.Address, Events{Leaving: []membership.Leave{{Instance: id}}, HopsLeft: maxHops})
-		return err == nil
+		for {
+			_, err := c.push(ctx, p.Address, Events{Leaving: []membership.Leave{{Instance: id}}, HopsLeft: maxHops})
+			if err == nil || wait(ctx, pushPause) != nil {
+				return err == nil
+			}
+		}
 	})
 	wg.Wait()
 	for _, ok := range confirmed {
--- a/internal/app/control/push.go
+++ b/internal/app/control/push.go
@@ -18,6 +18,9 @@
 	pushTimeout = 500 * time.Millisecond
 	// bodyTimeout bounds a call that carries a configuration body.
 	bodyTimeout = time.Second
+	// pushPause is the time before an event is pushed again to a daemon that did
+	// not take it in: it may be starting, or its connection is being replaced.
+	pushPause = 50 * time.Millisecond
 	// spreadAcks is the number of peers that must hold a version before the
 	// accepting daemon puts it into effect.
 	spreadAcks = 2
@@ -152,31 +155,42 @@
 
 // SpreadConfig sends a version with its body to peers until two hold it, or
 // all if there are fewer, or ctx ends. It returns how many hold it. A peer that
-// fails is replaced by another.
+// fails or does not hold the version yet, because it is still starting, is
+// joined by another one and asked again.
 func (c *Control) SpreadConfig(ctx context.Context, s *config.Snapshot) int {
 	peers := c.peerList()
 	c.mu.Lock()
 	order := membership.SpreadOrder(c.rng, c.o.DataCenter, peers)
 	c.mu.Unlock()
 	e := Events{Config: &ConfigBody{Version: s.Version, SHA256: s.SHA256, Source: s.Source}, HopsLeft: maxHops}
-	answers := make(chan bool, len(order))
-	sent, answered, acks := 0, 0, 0
+	answers, returned := make(chan bool), make(chan struct{})
+	defer close(returned)
+	sent, acks := 0, 0
 	send := func() {
 		t := order[sent]
 		sent++
 		c.tasks.start(func() {
-			v, err := c.push(c.ctx, t.Address, e)
-			answers <- err == nil && v >= s.Version
+			for {
+				v, err := c.push(c.ctx, t.Address, e)
+				held := err == nil && v >= s.Version
+				select {
+				case answers <- held:
+				case <-returned:
+					return
+				}
+				if held || wait(ctx, pushPause) != nil {
+					return
+				}
+			}
 		})
 	}
 	for sent < min(membership.RelayNear+membership.RelayFar, len(order)) {
 		send()
 	}
-	for acks < min(spreadAcks, len(order)) && answered < sent {
+	for acks < min(spreadAcks, len(order)) {
 		select {
-		case ok := <-answers:
-			answered++
-			if ok {
+		case held := <-answers:
+			if held {
 				acks++
 			} else if sent < len(order) {
 				send()
--- a/internal/daemon/peers_test.go
+++ b/internal/daemon/peers_test.go
@@ -4,7 +4,6 @@
 	"context"
 	"encoding/json"
 	"fmt"
-	"net"
 	"net/http"
 	"net/http/httptest"
 	"testing"
@@ -15,18 +14,9 @@
 	"eelgrassgrade/internal/core"
 	"eelgrassgrade/internal/settings"
 	"eelgrassgrade/internal/standin"
+	"eelgrassgrade/internal/testnet"
 )
 
-func freeAddress(t *testing.T) string {
-	t.Helper()
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer ln.Close()
-	return ln.Addr().String()
-}
-
 // startDaemons runs daemons on loopback addresses against stand-ins until the
 // test ends.
 func startDaemons(t *testing.T, n int) []*Daemon {
@@ -56,7 +46,7 @@
 	for i := range n {
 		s := map[string]any{
 			"instance": fmt.Sprint("d", i), "data_center": fmt.Sprint("dc", i%2), "drain_wait_ms": 0,
-			"listen": map[string]string{"callers": freeAddress(t), "operators": freeAddress(t), "peers": freeAddress(t)},
+			"listen": map[string]string{"callers": testnet.FreeAddress(t), "operators": testnet.FreeAddress(t), "peers": testnet.FreeAddress(t)},
 			"table":  map[string]string{"url": table.URL}, "objects": map[string]string{"url": objects.URL}, "instances": map[string]string{"url": listServer.URL},
 			"operator_keys_sha256": []string{}, "tls": tlsSettings,
 		}
