Take each status into the fleet's sums in time that does not grow

Cause: every status heard added up the statuses of all peers anew. On top of it the RPC library probed for its window with each message and kept 64 KB of buffers for each connection.

Change: a status replaces its sender's previous one in running sums (fleet/totals.go); a view is built when daemons or newest versions change, else when it is read and at most each 50 ms; this daemon's own status is built each 50 ms. Connections between daemons get fixed windows and buffers of 4 KB.

Trace of the statuses heard: the daemon that all others know first spent its 128 statuses with the list of known daemons on the first ones that came, when it knew nobody, and told the others nobody for 2 s.

Ruled out: the sorting of peers for exchanges (60 us each 300 ms).

--- /dev/null
+++ b/internal/adapter/fleetrpc/bench_test.go
@@ -0,0 +1,59 @@
+package fleetrpc
+
+import (
+	"fmt"
+	"net"
+	"syscall"
+	"testing"
+	"time"
+
+	"eelgrassgrade/internal/app/fleet"
+	"eelgrassgrade/internal/app/stagework"
+	"eelgrassgrade/internal/core"
+)
+
+// BenchmarkExchange measures both sides of an exchange, with as many connections
+// as a daemon among 195 starts.
+func BenchmarkExchange(b *testing.B) {
+	const peers = 97
+	status := &fleet.Status{Member: fleet.Member{ID: "d", Address: "d", DataCenter: "x", Millicores: 192}, Incarnation: time.Now().UnixNano(),
+		Tables: map[string]int64{"op": 11, "servers": 4711, "eelgrass-daemons": 815}}
+	for i := range 6 {
+		status.Loads = append(status.Loads, fleet.EndpointLoad{Endpoint: core.InstanceID(fmt.Sprint("i-7f3a91c", i)), Running: i, PrefillTokens: 1000 * i})
+	}
+	var addresses []string
+	for i := range peers {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			b.Fatal(err)
+		}
+		self := fleet.Member{ID: core.InstanceID(fmt.Sprint("p", i)), Address: l.Addr().String()}
+		f := fleet.New(fleet.Options{Self: self, Events: noEvents{}, Now: time.Now, Source: func() *fleet.Status { return status }, OnStatus: func(*fleet.Status) {}})
+		s := NewServer(f, nil, stagework.NewCoordinator(b.Context(), noEvents{}, noEvents{}, noEvents{}, time.Now), time.Now, func() bool { return false })
+		go s.Serve(l)
+		defer s.Stop()
+		addresses = append(addresses, self.Address)
+	}
+	c := NewClient(time.Now)
+	for _, a := range addresses {
+		if _, err := c.Exchange(b.Context(), a, status); err != nil {
+			b.Fatal(err)
+		}
+	}
+	b.ReportAllocs()
+	before := processorTime(b)
+	for i := 0; b.Loop(); i++ {
+		if _, err := c.Exchange(b.Context(), addresses[i%peers], status); err != nil {
+			b.Fatal(err)
+		}
+	}
+	b.ReportMetric(float64(processorTime(b)-before)/float64(b.N), "cpu-ns/op")
+}
+
+func processorTime(b *testing.B) time.Duration {
+	var u syscall.Rusage
+	if err := syscall.Getrusage(syscall.RUSAGE_SELF, &u); err != nil {
+		b.Fatal(err)
+	}
+	return time.Duration(u.Utime.Nano() + u.Stime.Nano())
+}
--- a/internal/adapter/fleetrpc/fleetrpc.go
+++ b/internal/adapter/fleetrpc/fleetrpc.go
@@ -28,6 +28,15 @@
 	dialTimeout = 500 * time.Millisecond
 	baseBackoff = 50 * time.Millisecond
 	maxBackoff  = 500 * time.Millisecond
+	// windowBytes fits the largest links over the longest ways within a region. A
+	// fixed window spares the probes with which the library measures one, a packet
+	// each way for each message.
+	windowBytes = 256 << 10
+	// bufferBytes fits an exchange. A daemon among hundreds has a connection to each
+	// of them, and the library's own buffers are 64 KB for each.
+	bufferBytes = 4 << 10
+	// streamWorkers serve calls without a goroutine for each.
+	streamWorkers = 4
 )
 
 var (
@@ -56,6 +65,8 @@
 		var err error
 		conn, err = grpc.NewClient("passthrough:///"+address, grpc.WithTransportCredentials(insecure.NewCredentials()),
 			grpc.WithNoProxy(), grpc.WithDisableServiceConfig(), grpc.WithDisableRetry(),
+			grpc.WithInitialWindowSize(windowBytes), grpc.WithInitialConnWindowSize(windowBytes),
+			grpc.WithReadBufferSize(bufferBytes), grpc.WithWriteBufferSize(bufferBytes), grpc.WithSharedWriteBuffer(true),
 			grpc.WithDefaultCallOptions(grpc.MaxCallRecvMsgSize(maxMessage), grpc.MaxCallSendMsgSize(maxMessage)),
 			grpc.WithConnectParams(grpc.ConnectParams{MinConnectTimeout: dialTimeout,
 				Backoff: backoff.Config{BaseDelay: baseBackoff, Multiplier: 2, Jitter: 0.2, MaxDelay: maxBackoff}}))
@@ -154,7 +165,9 @@
 // NewServer returns a server. stopping says that the daemon takes no new tasks.
 func NewServer(f *fleet.Fleet, tables []*mirror.Table, c *stagework.Coordinator, now func() time.Time, stopping func() bool) *Server {
 	s := &Server{fleet: f, tables: map[string]*mirror.Table{}, coordinator: c, now: now, stopping: stopping, packer: newPacker(),
-		grpc: grpc.NewServer(grpc.MaxRecvMsgSize(maxMessage), grpc.MaxSendMsgSize(maxMessage))}
+		grpc: grpc.NewServer(grpc.MaxRecvMsgSize(maxMessage), grpc.MaxSendMsgSize(maxMessage),
+			grpc.InitialWindowSize(windowBytes), grpc.InitialConnWindowSize(windowBytes),
+			grpc.ReadBufferSize(bufferBytes), grpc.WriteBufferSize(bufferBytes), grpc.SharedWriteBuffer(true), grpc.NumStreamWorkers(streamWorkers))}
 	for _, t := range tables {
 		s.tables[t.Name()] = t
 	}
--- a/internal/app/fleet/fleet.go
+++ b/internal/app/fleet/fleet.go
@@ -25,9 +25,10 @@
 	// two exchanges comes on top.
 	aliveFor = 1100 * time.Millisecond
 	// knownEach is how many statuses apart the list of known daemons is told after
-	// the first startRounds, in which daemons that started together find each other.
-	knownEach   = 8
-	startRounds = 128
+	// startTime, in which daemons that started together find each other. Daemons
+	// that were not alive before are always told it.
+	knownEach = 8
+	startTime = 3 * time.Second
 	// dropAfter failed exchanges in a row the connection is replaced, since an
 	// open one may be silent while new ones work.
 	dropAfter = 2
@@ -44,6 +45,11 @@
 	maxTold = 48
 	// maxKnown bounds the daemons that are remembered.
 	maxKnown = 1024
+	// viewAge is how old the sums of a view may be while newer ones are known, and
+	// statusAge the same for what this daemon tells. Both are small beside the time
+	// between two exchanges, and hundreds of daemons exchange many times in them.
+	viewAge   = 50 * time.Millisecond
+	statusAge = 50 * time.Millisecond
 )
 
 // Member is a daemon.
@@ -139,18 +145,28 @@
 // Fleet is the membership of one daemon.
 type Fleet struct {
 	self      Member
-	born      int64
+	born      time.Time
 	transport Transport
 	source    Source
 	events    Events
 	onStatus  func(*Status)
 	now       func() time.Time
 
-	view    atomic.Pointer[View]
-	leaving atomic.Bool
+	view atomic.Pointer[View]
+	// outdated says that the totals have changed since the view was built.
+	outdated atomic.Bool
+	leaving  atomic.Bool
 
 	mu    sync.Mutex
 	peers map[string]*peer // by address
+	// starting holds the peers with which this daemon starts the exchanges. It is
+	// nil after a change of peers.
+	starting map[string]bool
+	totals   *totals
+	newest   map[string]Holder
+	// told is the status that this daemon told last, built at toldAt.
+	told   *Status
+	toldAt time.Time
 	// rounds counts the statuses that this daemon told.
 	rounds int
 	// storeAnswered is the latest answer of the store that others told of.
@@ -182,14 +198,23 @@
 
 // New returns a fleet that knows only itself.
 func New(o Options) *Fleet {
-	f := &Fleet{self: o.Self, born: o.Now().UnixNano(), transport: o.Transport, source: o.Source, events: o.Events,
-		onStatus: o.OnStatus, now: o.Now, peers: map[string]*peer{}}
+	f := &Fleet{self: o.Self, born: o.Now(), transport: o.Transport, source: o.Source, events: o.Events,
+		onStatus: o.OnStatus, now: o.Now, peers: map[string]*peer{}, totals: newTotals(), newest: map[string]Holder{}}
 	f.view.Store(&View{Alive: []Member{o.Self}})
 	return f
 }
 
-// View returns the current view.
-func (f *Fleet) View() *View { return f.view.Load() }
+// View returns the current view. Its sums are at most viewAge behind what was
+// told, its daemons and newest versions are not behind.
+func (f *Fleet) View() *View {
+	v := f.view.Load()
+	if !f.outdated.Load() || f.now().Sub(v.built) < viewAge || !f.mu.TryLock() {
+		return v
+	}
+	defer f.mu.Unlock()
+	f.publish()
+	return f.view.Load()
+}
 
 // Leave tells the others from the next exchange on that this daemon stops.
 func (f *Fleet) Leave() { f.leaving.Store(true) }
@@ -213,7 +238,7 @@
 			return nil
 		}
 		p = &peer{address: m.Address, member: m, added: f.now(), died: make(chan struct{})}
-		f.peers[m.Address] = p
+		f.peers[m.Address], f.starting = p, nil
 	}
 	if p.member.ID == "" {
 		p.member = m
@@ -258,6 +283,7 @@
 	for addr, p := range f.peers {
 		if !p.listed && now.Sub(p.added) > forgetAfter && now.Sub(p.heard) > forgetAfter {
 			delete(f.peers, addr)
+			f.starting = nil
 			continue
 		}
 		wait := freshFor
@@ -288,6 +314,9 @@
 // of the daemons that follow it in the order of addresses, taken as a ring. Each
 // daemon so starts as many as the others. The caller holds mu.
 func (f *Fleet) starts() map[string]bool {
+	if f.starting != nil {
+		return f.starting
+	}
 	ring := append(slices.Collect(maps.Keys(f.peers)), f.self.Address)
 	slices.Sort(ring)
 	at, n := slices.Index(ring, f.self.Address), len(ring)
@@ -298,6 +327,7 @@
 			out[ring[(at+i)%n]] = true
 		}
 	}
+	f.starting = out
 	return out
 }
 
@@ -337,8 +367,7 @@
 
 // Receive takes in another daemon's status and returns this daemon's.
 func (f *Fleet) Receive(s *Status) *Status {
-	f.heard(s)
-	return f.Status()
+	return f.status(f.heard(s))
 }
 
 // StoreAnswered returns when the store last answered another daemon, as far as
@@ -350,38 +379,47 @@
 }
 
 // Status returns what this daemon tells the others.
-func (f *Fleet) Status() *Status {
-	s := f.source()
-	s.Member, s.Incarnation, s.Leaving = f.self, f.born, f.leaving.Load()
+func (f *Fleet) Status() *Status { return f.status(false) }
+
+// status is Status. With newcomer the other known daemons are told in any case.
+func (f *Fleet) status(newcomer bool) *Status {
+	f.mu.Lock()
+	told := f.told
+	if told != nil && f.now().Sub(f.toldAt) >= statusAge {
+		told = nil
+	}
+	f.mu.Unlock()
+	if told == nil {
+		told = f.source()
+	}
+	s := *told
+	s.Member, s.Incarnation, s.Leaving = f.self, f.born.UnixNano(), f.leaving.Load()
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	if f.told != told {
+		f.told, f.toldAt = told, f.now()
+	}
 	if f.storeAnswered.After(s.StoreAnswered) {
 		s.StoreAnswered = f.storeAnswered
 	}
-	if f.rounds++; f.rounds > startRounds && f.rounds%knownEach != 1 {
-		return s
+	if f.rounds++; !newcomer && f.now().Sub(f.born) > startTime && f.rounds%knownEach != 1 {
+		return &s
 	}
 	for _, p := range f.peers {
 		if p.alive && len(s.Known) < maxTold {
 			s.Known = append(s.Known, p.member)
 		}
 	}
-	return s
+	return &s
 }
 
-func (f *Fleet) heard(s *Status) {
+// heard takes in a status and says whether its sender was not alive before.
+func (f *Fleet) heard(s *Status) (newcomer bool) {
 	if s.Member.Address == f.self.Address {
-		return
+		return false
 	}
 	f.mu.Lock()
-	p := f.add(s.Member, false)
-	if p != nil && (p.status == nil || s.Incarnation >= p.status.Incarnation) {
-		if p.status != nil && s.Incarnation > p.status.Incarnation {
-			// The daemon was restarted: what it had in progress is gone.
-			f.lost(p)
-		}
-		p.member, p.status, p.heard = s.Member, s, f.now()
-	}
+	newcomer = f.take(s)
 	for _, m := range s.Known {
 		f.add(m, false)
 	}
@@ -390,49 +428,113 @@
 	}
 	f.mu.Unlock()
 	f.onStatus(s)
-	f.refresh()
+	return newcomer
+}
+
+// take replaces a peer's status and says whether the peer was not alive before. A
+// view is built at once if daemons or newest versions change. The caller holds mu.
+func (f *Fleet) take(s *Status) (newcomer bool) {
+	p := f.add(s.Member, false)
+	if p == nil || p.status != nil && s.Incarnation < p.status.Incarnation {
+		return false
+	}
+	before, changed := p.status, false
+	if !p.alive {
+		before = nil
+	} else if s.Incarnation > p.status.Incarnation {
+		// The daemon was restarted: what it had in progress is gone.
+		f.lost(p)
+		before, changed = nil, true
+	}
+	changed = changed || !p.alive || before.Leaving != s.Leaving || p.member != s.Member
+	p.member, p.status, p.heard = s.Member, s, f.now()
+	f.totals.replace(before, s)
+	f.outdated.Store(true)
+	if newcomer = !p.alive; newcomer {
+		p.alive = true
+		f.events.PeerAlive(p.member)
+	}
+	for table, version := range s.Tables {
+		switch h := f.newest[table]; {
+		case version > h.Version:
+			f.newest[table] = Holder{version, s.Member.Address}
+			changed = true
+		case version < h.Version && h.Address == s.Member.Address:
+			f.findNewest()
+			changed = true
+		}
+	}
+	if changed {
+		f.publish()
+	}
+	return newcomer
 }
 
+// lost takes a daemon that is not alive any more out of the totals. The caller
+// holds mu and publishes a view.
 func (f *Fleet) lost(p *peer) {
 	close(p.died)
 	p.died = make(chan struct{})
-	if p.alive {
-		p.alive = false
-		f.events.PeerLost(p.member, f.now().Sub(p.heard))
+	if !p.alive {
+		return
+	}
+	p.alive = false
+	f.totals.replace(p.status, nil)
+	f.findNewest()
+	f.events.PeerLost(p.member, f.now().Sub(p.heard))
+}
+
+// findNewest goes through all live peers for the newest version of each table.
+func (f *Fleet) findNewest() {
+	clear(f.newest)
+	for _, p := range f.peers {
+		if !p.alive {
+			continue
+		}
+		for table, version := range p.status.Tables {
+			if version > f.newest[table].Version {
+				f.newest[table] = Holder{version, p.member.Address}
+			}
+		}
 	}
 }
 
-// refresh rebuilds the view.
+// refresh takes silent daemons out of the view.
 func (f *Fleet) refresh() {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	now := f.now()
-	v := &View{Loads: map[core.InstanceID]EndpointLoad{}, Waits: map[StageGroup]map[core.InstanceID][]time.Duration{}, Newest: map[string]Holder{}}
+	now, silence := f.now(), f.silence()
+	for _, p := range f.peers {
+		if p.alive && now.Sub(p.heard) >= silence {
+			f.lost(p)
+			f.outdated.Store(true)
+		}
+	}
+	if f.leaving.Load() == slices.Contains(f.view.Load().Alive, f.self) {
+		f.outdated.Store(true)
+	}
+	if f.outdated.Load() {
+		f.publish()
+	}
+}
+
+// publish builds the view anew. The caller holds mu.
+func (f *Fleet) publish() {
+	f.outdated.Store(false)
+	v := &View{Newest: maps.Clone(f.newest), built: f.now()}
+	f.totals.fill(v)
 	if !f.leaving.Load() {
 		v.Alive = append(v.Alive, f.self)
 	}
-	silence := f.silence()
 	for _, p := range f.peers {
-		fresh := p.status != nil && now.Sub(p.heard) < silence
-		if !fresh {
-			if p.alive {
-				f.lost(p)
-			}
-			continue
-		}
-		if !p.alive {
-			p.alive = true
-			f.events.PeerAlive(p.member)
-		}
-		if !p.status.Leaving {
+		if p.alive && !p.status.Leaving {
 			v.Alive = append(v.Alive, p.member)
 		}
-		v.take(p.status)
 	}
 	slices.SortFunc(v.Alive, func(a, b Member) int { return cmp.Compare(a.ID, b.ID) })
 	v.ranks = &ranks{}
 	if old := f.view.Load(); old.ranks != nil && slices.Equal(old.Alive, v.Alive) {
-		v.ranks = old.ranks
+		v.Alive, v.ranks = old.Alive, old.ranks
 	}
 	f.view.Store(v)
 }
--- a/internal/app/fleet/fleet_test.go
+++ b/internal/app/fleet/fleet_test.go
@@ -293,3 +293,19 @@
 		}
 	})
 }
+
+// Pattern: a fleet whose members all know one daemon first, as after a start
+// without the store. It has told many statuses by then. Who comes new has to hear
+// of the others from it at once and not after seconds.
+func TestANewDaemonIsToldTheOthersAtOnce(t *testing.T) {
+	f, now, status := large(195)
+	*now = now.Add(startTime + time.Second)
+	for i := range 300 {
+		f.Receive(status(i))
+	}
+	for i := range knownEach {
+		if s := f.Receive(&Status{Member: member(1000 + i), Incarnation: 1}); len(s.Known) == 0 {
+			t.Errorf("new daemon %d is told of no others", i)
+		}
+	}
+}
--- a/internal/app/fleet/view.go
+++ b/internal/app/fleet/view.go
@@ -24,6 +24,7 @@
 	Newest map[string]Holder
 
 	ranks *ranks
+	built time.Time
 }
 
 // ranks keeps the rankings of one set of live daemons: each request asks for
@@ -41,27 +42,6 @@
 	Address string
 }
 
-func (v *View) take(s *Status) {
-	for _, l := range s.Loads {
-		sum := v.Loads[l.Endpoint]
-		sum.Running += l.Running
-		sum.PrefillTokens += l.PrefillTokens
-		sum.Failing = sum.Failing || l.Failing
-		v.Loads[l.Endpoint] = sum
-	}
-	for _, w := range s.Waits {
-		if v.Waits[w.StageGroup] == nil {
-			v.Waits[w.StageGroup] = map[core.InstanceID][]time.Duration{}
-		}
-		v.Waits[w.StageGroup][s.Member.ID] = w.Wait
-	}
-	for table, version := range s.Tables {
-		if version > v.Newest[table].Version {
-			v.Newest[table] = Holder{version, s.Member.Address}
-		}
-	}
-}
-
 const (
 	// nearWeight is the factor by which daemons of the wanted data centre go before
 	// others. Work between data centres takes their distance for each message.
