Heed what endpoints say in their answers: leaving, and asking for a pause

Change: the platform adapter reads both from answers to requests, stage calls and frees, but not from another incarnation's (421). endpoints.Set keeps them for the incarnation: one that leaves is out of the view at once, also through an outage in which its entry vanishes and returns; one that asks for a pause gets no request, piece or free until its end. A pool whose endpoints all ask for a pause is refused at once, with the time of the first one's return.

Found with the test of two daemons (it took 25 s): a request whose stage had no endpoint left waited for its whole time. The daemon and the coordinator of the group now refuse it at once as not run.

Not done: other daemons do not hear of the word; each learns it by its own answers or from the list.

--- a/internal/app/endpoints/endpoints.go
+++ b/internal/app/endpoints/endpoints.go
@@ -38,6 +38,7 @@
 	now     func() time.Time
 	changed func(*View, []Change)
 	view    atomic.Pointer[View]
+	words   words
 
 	mu      sync.Mutex
 	listed  map[core.InstanceID]Entry
@@ -52,7 +53,8 @@
 
 // New returns an empty set. changed is called after each change of the view.
 func New(now func() time.Time, changed func(*View, []Change)) *Set {
-	s := &Set{now: now, changed: changed, listed: map[core.InstanceID]Entry{}, missing: map[core.InstanceID]time.Time{}}
+	s := &Set{now: now, changed: changed, listed: map[core.InstanceID]Entry{}, missing: map[core.InstanceID]time.Time{},
+		words: words{left: map[core.InstanceID]leavingWord{}, rest: map[core.InstanceID]restWord{}}}
 	s.view.Store(&View{ByPool: map[core.PoolID][]Entry{}, ByID: map[core.InstanceID]Entry{}})
 	return s
 }
@@ -119,7 +121,7 @@
 		}
 	}
 	for id, e := range s.listed {
-		if e.Leaving || owner[e.Address].ID != id {
+		if e.Leaving || owner[e.Address].ID != id || s.words.leaves(e) {
 			continue
 		}
 		v.ByID[id] = e
--- a/internal/app/forward/attempt.go
+++ b/internal/app/forward/attempt.go
@@ -30,7 +30,7 @@
 	view, others := f.view(), f.fleet()
 	var good, poor []placement.Candidate
 	for _, e := range view.ByPool[x.pool] {
-		if tried[e.ID] {
+		if tried[e.ID] || now.Before(f.rest(e)) {
 			continue
 		}
 		running, prefill, status := f.tracker.own(x.pool, e.ID)
@@ -60,6 +60,25 @@
 	return append(out, placement.Order(parts, poor)...)
 }
 
+// restLeft returns how long all endpoints of a pool want nothing from this daemon,
+// and 0 if one of them takes requests.
+func (f *Forwarder) restLeft(pool core.PoolID) time.Duration {
+	now := f.now()
+	var least time.Duration
+	for i, e := range f.view().ByPool[pool] {
+		left := max(f.rest(e).Sub(now), 0)
+		if i == 0 || left < least {
+			least = left
+		}
+	}
+	return least
+}
+
+// resting is the refusal of a request whose endpoints all want nothing for d.
+func resting(d time.Duration) *core.Error {
+	return &core.Error{Kind: core.Unavailable, Step: "endpoint", Ran: core.RanNot, RetryAfter: d, Detail: "all endpoints of the pool ask for a pause"}
+}
+
 // attempts offers a request to endpoints until one answers.
 func (f *Forwarder) attempts(ctx context.Context, x *exchange, w http.ResponseWriter) (*core.Error, bool) {
 	tried := map[core.InstanceID]bool{}
@@ -68,6 +87,9 @@
 	runs := 0
 	for try := 1; try <= maxTries; try++ {
 		list := f.candidates(x, tried)
+		if left := f.restLeft(x.pool); len(list) == 0 && left > 0 && !x.ran {
+			last = resting(left)
+		}
 		if len(list) == 0 || ctx.Err() != nil {
 			break
 		}
--- a/internal/app/forward/forward.go
+++ b/internal/app/forward/forward.go
@@ -30,6 +30,7 @@
 	fleet     func() *fleet.View
 	endpoints Endpoints
 	stages    Stages
+	rest      func(endpoints.Entry) time.Time
 	budget    Budget
 	events    Events
 	now       func() time.Time
@@ -47,6 +48,8 @@
 	Fleet     func() *fleet.View
 	Endpoints Endpoints
 	Stages    Stages
+	// RestUntil returns until when an endpoint wants nothing from this daemon.
+	RestUntil func(endpoints.Entry) time.Time
 	Budget    Budget
 	Events    Events
 	Now       func() time.Time
@@ -54,7 +57,7 @@
 
 // New returns a forwarder.
 func New(o Options) *Forwarder {
-	return &Forwarder{catalog: o.Catalog, view: o.View, fleet: o.Fleet, endpoints: o.Endpoints, stages: o.Stages, budget: o.Budget,
+	return &Forwarder{catalog: o.Catalog, view: o.View, fleet: o.Fleet, endpoints: o.Endpoints, stages: o.Stages, rest: o.RestUntil, budget: o.Budget,
 		events: o.Events, now: o.Now, tracker: newTracker(o.Now, o.Events), suspects: newSuspects(o.Now), paces: newPaces()}
 }
 
@@ -196,6 +199,14 @@
 	if c := f.candidates(x, nil); len(c) > 0 {
 		x.near = c[0].Endpoint.DataCenter
 	}
+	for i, s := range x.route.Stages {
+		if count(x.req.Pieces, i) > 0 && len(f.view().ByPool[s.Pool]) == 0 {
+			return &core.Error{Kind: core.Unavailable, Step: "admission", Ran: core.RanNot, RetryAfter: time.Second, Detail: "no endpoint of pool " + string(s.Pool) + " takes work"}
+		}
+	}
+	if left := f.restLeft(x.pool); f.now().Add(left).After(x.begin) {
+		return resting(left)
+	}
 	x.plan = makePlan(x.route, x.snap, x.req.Pieces, f.paces.expect(x.route.Name),
 		func(i int) time.Duration { return f.stages.Wait(x.route.Stages[i].Pool, x.rank, x.near) })
 	x.last = x.begin.Add(-x.plan.last)
--- a/internal/app/stagework/call.go
+++ b/internal/app/stagework/call.go
@@ -118,7 +118,7 @@
 func (p *pool) lead(c *call) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if c.replica.outstanding == 1 && c.replica.slowness(p.c.now()) <= slowFrom && !c.replica.out(p.c.now()) {
+	if c.replica.outstanding == 1 && c.replica.slowness(p.c.now()) <= slowFrom && !p.out(c.replica, p.c.now()) {
 		p.leave(c)
 		p.schedule()
 	}
@@ -293,7 +293,15 @@
 	if x.room(p.c.now(), p.limits.ResultRoom) < 2*p.limits.ResultRoom/3 {
 		delay = freeDelay
 	}
+	// An endpoint that asked for a pause drops the results at the end of their life.
+	delay = max(delay, min(p.c.rest(x.entry).Sub(p.c.now()), p.limits.ResultLife))
 	time.AfterFunc(delay, func() {
+		if p.c.now().Before(p.c.rest(x.entry)) {
+			p.mu.Lock()
+			x.freed, x.freeing = nil, false
+			p.mu.Unlock()
+			return
+		}
 		p.mu.Lock()
 		handles := x.freed
 		x.freed, x.freeing = nil, false
--- a/internal/app/stagework/coordinator.go
+++ b/internal/app/stagework/coordinator.go
@@ -70,6 +70,7 @@
 // Coordinator forms the calls to the endpoints that this daemon coordinates.
 type Coordinator struct {
 	endpoints Endpoints
+	rest      func(endpoints.Entry) time.Time
 	events    Events
 	budget    Budget
 	now       func() time.Time
@@ -83,9 +84,10 @@
 	pools map[fleet.StageGroup]*pool
 }
 
-// NewCoordinator returns a coordinator whose calls end with ctx.
-func NewCoordinator(ctx context.Context, e Endpoints, ev Events, b Budget, now func() time.Time) *Coordinator {
-	return &Coordinator{endpoints: e, events: ev, budget: b, now: now, ctx: ctx, release: func(core.PoolID, []Result) {}, roomWait: func(core.PoolID, Result) time.Duration { return 0 }, pools: map[fleet.StageGroup]*pool{}}
+// NewCoordinator returns a coordinator whose calls end with ctx. rest returns until
+// when an endpoint wants nothing from this daemon.
+func NewCoordinator(ctx context.Context, e Endpoints, rest func(endpoints.Entry) time.Time, ev Events, b Budget, now func() time.Time) *Coordinator {
+	return &Coordinator{endpoints: e, rest: rest, events: ev, budget: b, now: now, ctx: ctx, release: func(core.PoolID, []Result) {}, roomWait: func(core.PoolID, Result) time.Duration { return 0 }, pools: map[fleet.StageGroup]*pool{}}
 }
 
 // SetEndpoints replaces the endpoints of a group.
--- a/internal/app/stagework/pool.go
+++ b/internal/app/stagework/pool.go
@@ -55,6 +55,9 @@
 	used      map[core.AccountID]float64
 	usedAt    time.Time
 	timer     *time.Timer
+	// listed says that the endpoints of the group are known. Before that, as at the
+	// start of a daemon, tasks wait for them.
+	listed bool
 	// dissolved says that the group is no more.
 	dissolved bool
 }
@@ -62,7 +65,7 @@
 func (p *pool) setEndpoints(l *catalog.Batching, list []endpoints.Entry) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.limits = *l
+	p.limits, p.listed = *l, true
 	seen := map[core.InstanceID]bool{}
 	for _, e := range list {
 		seen[e.ID] = true
@@ -87,6 +90,10 @@
 		p.mu.Unlock()
 		return nil, dissolved()
 	}
+	if len(p.replicas) == 0 && p.listed {
+		p.mu.Unlock()
+		return nil, &core.Error{Kind: core.Unavailable, Step: "stage", Ran: core.RanNot, RetryAfter: time.Second, Detail: "no endpoint of the stage takes work"}
+	}
 	if len(p.queue)+t.Pieces > maxWaiting {
 		p.mu.Unlock()
 		return nil, &core.Error{Kind: core.Unavailable, Step: "stage", Ran: core.RanNot, RetryAfter: time.Second, Detail: "too many pieces wait for this stage"}
--- a/internal/app/stagework/queue.go
+++ b/internal/app/stagework/queue.go
@@ -57,11 +57,16 @@
 	return min(full, max(float64(len(p.finishes))/rateWindow.Seconds(), 1))
 }
 
+// out says whether an endpoint gets no calls now: it failed, or asked for a pause.
+func (p *pool) out(r *replica, now time.Time) bool {
+	return r.out(now) || now.Before(p.c.rest(r.entry))
+}
+
 // usable returns the number of endpoints in rotation.
 func (p *pool) usable(now time.Time) int {
 	n := 0
 	for _, r := range p.replicas {
-		if !r.out(now) {
+		if !p.out(r, now) {
 			n++
 		}
 	}
@@ -106,6 +111,9 @@
 	usable := 0
 	var oldest *replica
 	for _, r := range p.replicas {
+		if now.Before(p.c.rest(r.entry)) {
+			continue
+		}
 		if r.out(now) {
 			if r.calls == 0 && (oldest == nil || r.outUntil.Before(oldest.outUntil)) {
 				oldest = r
@@ -203,7 +211,7 @@
 // local says whether a data centre has an endpoint in rotation that is not slow.
 func (p *pool) local(now time.Time, dc string) bool {
 	for _, r := range p.replicas {
-		if string(r.entry.DataCenter) == dc && !r.out(now) && r.slowness(now) <= slowFrom {
+		if string(r.entry.DataCenter) == dc && !p.out(r, now) && r.slowness(now) <= slowFrom {
 			return true
 		}
 	}
@@ -212,7 +220,7 @@
 
 func (p *pool) hasFaster(now time.Time) bool {
 	for _, r := range p.replicas {
-		if !r.out(now) && r.slowness(now) <= slowFrom {
+		if !p.out(r, now) && r.slowness(now) <= slowFrom {
 			return true
 		}
 	}
