Free the inputs of resumable streams at their first event

With 25 such streams a second of 2 to 4 s each, their results (36 KB each) took all of the 2.9 MB that the last stage's endpoints have. Calls of that stage were cut short by room, its queue grew, and with it the time that the second stage's results were held, back to the first.

Change: the results are freed at the first event of every stream, since the engine has read them then. A stream that breaks off later has its stages run once more, as repeats, before it goes on elsewhere.

TestInputsAreFreedAtTheFirstEvent fails without the change.

--- a/internal/app/forward/attempt.go
+++ b/internal/app/forward/attempt.go
@@ -60,6 +60,12 @@
 	return append(out, placement.Order(parts, poor)...)
 }
 
+// resume moves the times of a stream that broke off: it has begun, so that the rest
+// is of use until the deadline.
+func (x *exchange) resume(now time.Time) {
+	x.target, x.begin, x.last = now, x.deadline, x.deadline.Add(-x.plan.last)
+}
+
 // restLeft returns how long all endpoints of a pool want nothing from this daemon,
 // and 0 if one of them takes requests.
 func (f *Forwarder) restLeft(pool core.PoolID) time.Duration {
@@ -110,12 +116,15 @@
 		if ctx.Err() != nil || !f.again(x, ce, runs) {
 			break
 		}
-		if ce.Kind == core.Conflict {
+		if ce.Kind == core.Conflict || x.inputs.gone() {
 			// Results that the request takes are gone: make them again.
 			if x.stageRuns > 1 {
 				break
 			}
 			x.inputs.releaseAll()
+			if x.started {
+				x.resume(f.now())
+			}
 			if err := f.stagesOf(ctx, x); err != nil {
 				last = err
 				break
@@ -183,9 +192,10 @@
 			at = f.now()
 			f.paces.observe(x.route.Name, f.now().Sub(began))
 			f.tracker.observe(x.pool, e.ID, health.Sample{OK: true, Form: health.Stream, Elapsed: normalized(f.now().Sub(began), x.req.PromptTokens)}, false)
-			if x.route.Repeat != catalog.Resumable {
-				x.inputs.releaseAll()
-			}
+			// The endpoint has read its inputs. Kept until the end of long streams they
+			// would take up the room of the stage. A stream that breaks off has them
+			// made again.
+			x.inputs.releaseAll()
 		}
 		if err := s.pass(call, a); err != nil {
 			return f.broken(ctx, x, e, began, err)
--- a/internal/app/forward/fake_test.go
+++ b/internal/app/forward/fake_test.go
@@ -82,6 +82,7 @@
 			route("stream", catalog.Route{Stream: true, Attempts: 1}),
 			route("resume", catalog.Route{Stream: true, Repeat: catalog.Resumable, Attempts: 2}),
 			route("staged", catalog.Route{Stream: true, Attempts: 1, Stages: stage, Target: time.Second}),
+			route("staged-resume", catalog.Route{Stream: true, Repeat: catalog.Resumable, Attempts: 2, Stages: stage, Target: time.Second}),
 			route("public", catalog.Route{Public: true, Attempts: 1}),
 		}, []*catalog.Pool{{ID: "s", Batching: &catalog.Batching{MaxPieces: 8, CallTime: 100 * time.Millisecond, PieceTime: time.Millisecond}}},
 			map[string]*catalog.Account{"key": {ID: "acc"}})
--- a/internal/app/forward/forward_test.go
+++ b/internal/app/forward/forward_test.go
@@ -266,6 +266,52 @@
 	})
 }
 
+// Pattern: streams that go on for seconds after their first event, while the room
+// for stages' results is scarce. Their inputs must be freed at the first event, also
+// where the stream may be resumed; one that breaks off later gets new ones, and its
+// caller the whole answer.
+func TestInputsAreFreedAtTheFirstEvent(t *testing.T) {
+	for _, route := range []string{"staged", "staged-resume"} {
+		start(t, 2, func(w *world) {
+			w.script = func(core.Endpoint, *Outgoing, int) act { return act{body: "id: 1\ndata: a\n\n", rest: time.Second} }
+			time.AfterFunc(700*time.Millisecond, func() {
+				w.mu.Lock()
+				defer w.mu.Unlock()
+				if w.released != 5 {
+					t.Errorf("%s: %d of 5 results freed while the stream goes on", route, w.released)
+				}
+			})
+			began := time.Now()
+			if got := w.ask(context.Background(), route, func(r *Request) { r.Pieces = []int{2, 3} }); got.err != nil || time.Since(began) < 800*time.Millisecond {
+				t.Errorf("%s: %v after %v", route, got.err, time.Since(began))
+			}
+		})
+	}
+	start(t, 2, func(w *world) {
+		w.script = func(_ core.Endpoint, o *Outgoing, n int) act {
+			if n == 1 {
+				return act{body: "id: 1\ndata: a\n\n", breaks: true}
+			}
+			return act{body: "id: 2\ndata: b\n\n"}
+		}
+		got := w.ask(context.Background(), "staged-resume", func(r *Request) { r.Pieces = []int{2, 3} })
+		if got.err != nil || got.cut || got.body != "id: 1\ndata: a\n\nid: 2\ndata: b\n\n" {
+			t.Fatalf("answer %+v", got)
+		}
+		if len(w.outs) != 2 || w.outs[1].After != "1" || w.outs[1].Inputs[0] == w.outs[0].Inputs[0] || len(w.outs[1].Inputs) != 3 {
+			t.Errorf("%d sends, the last with %+v", len(w.outs), w.outs[len(w.outs)-1])
+		}
+		for _, task := range w.tasks[2:] {
+			if !task.Repeat || task.Deadline.Before(time.Now()) {
+				t.Errorf("stage made again with %+v", task)
+			}
+		}
+		if w.released != 10 {
+			t.Errorf("%d of 10 results freed", w.released)
+		}
+	})
+}
+
 // Pattern: overload of a stage. A request that cannot be in time is refused at
 // once, before it costs a stage anything.
 func TestHopelessRequestsAreRefusedAtOnce(t *testing.T) {
--- a/internal/app/forward/stages.go
+++ b/internal/app/forward/stages.go
@@ -20,6 +20,7 @@
 	stages Stages
 	mu     sync.Mutex
 	held   map[core.PoolID][]stagework.Result
+	freed  bool
 	handle []string
 	// dc counts the results by the data centre that holds them, weighed by size.
 	dc map[core.DataCenterID]int
@@ -38,13 +39,23 @@
 	}
 	in.mu.Lock()
 	held := in.held
-	in.held = map[core.PoolID][]stagework.Result{}
+	in.held, in.freed = map[core.PoolID][]stagework.Result{}, true
 	in.mu.Unlock()
 	for pool, r := range held {
 		in.stages.Release(pool, r)
 	}
 }
 
+// gone says whether there were results and all are freed.
+func (in *inputs) gone() bool {
+	if in == nil {
+		return false
+	}
+	in.mu.Lock()
+	defer in.mu.Unlock()
+	return in.freed && len(in.handle) > 0
+}
+
 func (in *inputs) release(pool core.PoolID, r []stagework.Result) {
 	in.mu.Lock()
 	held := in.held[pool]
