Tell ages and budgets by the monotonic clock, and starts apart by equality

Set forward, a budget was granted twice (the test: 12 repeats of 6); set back, it stayed shut, an outage that had ended was taken for a new one, so that entries of gone endpoints were kept, and the silence of the store was hidden. A daemon that restarted after its clock was set back had a lower incarnation than before and was ignored by all others for good.

Ruled out: leases and records (decide/lease and idempotency strip the monotonic reading on purpose and compare both), log limits (they only bound lines).

Change: times are kept as such, behind an atomic pointer; the budget counts from its first call; an incarnation is compared for equality with the present and the former ones.

--- a/internal/app/fleet/fleet.go
+++ b/internal/app/fleet/fleet.go
@@ -45,6 +45,10 @@
 	maxTold = 48
 	// maxKnown bounds the daemons that are remembered.
 	maxKnown = 1024
+	// maxFormer bounds the incarnations of a daemon whose late words are known as such.
+	// They are compared for equality alone: a machine's time of day may be set back
+	// between two starts.
+	maxFormer = 4
 	// viewAge is how old the sums of a view may be while newer ones are known, and
 	// statusAge the same for what this daemon tells. Both are small beside the time
 	// between two exchanges, and hundreds of daemons exchange many times in them.
@@ -93,7 +97,8 @@
 // Status is what a daemon tells the others.
 type Status struct {
 	Member Member
-	// Incarnation is the daemon's start, Unix nanoseconds.
+	// Incarnation tells the starts of a daemon apart. It is the time of the start,
+	// which may be before that of an earlier one.
 	Incarnation int64
 	Leaving     bool
 	// Tables holds the version of the last change of each mirrored table.
@@ -140,6 +145,8 @@
 	alive    bool
 	listed   bool
 	died     chan struct{}
+	// former holds the incarnations before the one of status, the latest last.
+	former []int64
 }
 
 // Fleet is the membership of one daemon.
@@ -435,18 +442,22 @@
 // view is built at once if daemons or newest versions change. The caller holds mu.
 func (f *Fleet) take(s *Status) (newcomer bool) {
 	p := f.add(s.Member, false)
-	if p == nil || p.status != nil && s.Incarnation < p.status.Incarnation {
+	if p == nil || slices.Contains(p.former, s.Incarnation) {
 		return false
 	}
 	before, changed := p.status, false
 	if !p.alive {
 		before = nil
-	} else if s.Incarnation > p.status.Incarnation {
+	} else if s.Incarnation != p.status.Incarnation {
 		// The daemon was restarted: what it had in progress is gone.
 		f.lost(p)
 		before, changed = nil, true
 	}
 	changed = changed || !p.alive || before.Leaving != s.Leaving || p.member != s.Member
+	if p.status != nil && p.status.Incarnation != s.Incarnation {
+		p.former = append(p.former, p.status.Incarnation)
+		p.former = p.former[max(len(p.former)-maxFormer, 0):]
+	}
 	p.member, p.status, p.heard = s.Member, s, f.now()
 	f.totals.replace(before, s)
 	f.outdated.Store(true)
--- a/internal/app/fleet/fleet_test.go
+++ b/internal/app/fleet/fleet_test.go
@@ -309,3 +309,23 @@
 		}
 	}
 }
+
+// Guards against a daemon that was restarted after its machine's time of day was set
+// back: the others would ignore all that it says, and coordinate what it does too.
+func TestARestartWithAnEarlierClockIsNoticed(t *testing.T) {
+	f, _ := idle()
+	before, after := &Status{Member: member(1), Incarnation: 9_000}, &Status{Member: member(1), Incarnation: 4_000, Loads: []EndpointLoad{{Endpoint: "e", Running: 1}}}
+	f.heard(before)
+	died := f.Died("a1")
+	f.heard(after)
+	select {
+	case <-died:
+	default:
+		t.Error("who waits for the earlier incarnation is not told")
+	}
+	f.heard(before)
+	f.refresh()
+	if v := f.View(); len(v.Alive) != 2 || v.Loads["e"].Running != 1 {
+		t.Errorf("after a late word of the earlier incarnation the view is %+v", v)
+	}
+}
--- a/internal/app/fleet/totals_test.go
+++ b/internal/app/fleet/totals_test.go
@@ -74,7 +74,7 @@
 				}
 			}
 			f.heard(s)
-			if known := f.peers[s.Member.Address].status; known == s {
+			if f.peers[s.Member.Address].status == s {
 				live[s.Member.Address], heard[s.Member.Address] = s, *now
 			}
 			f.refresh()
--- a/internal/app/mirror/mirror.go
+++ b/internal/app/mirror/mirror.go
@@ -100,16 +100,28 @@
 	// forgotten is the version up to which deletions are no longer known.
 	forgotten int64
 
-	storeOK   atomic.Bool
-	recovered atomic.Int64 // Unix nanoseconds of the last return of the store
-	// told is the end of an outage that another daemon told, Unix nanoseconds, and
+	storeOK atomic.Bool
+	// recovered is when the store last came back, told the end of an outage that
+	// another daemon told, and answered when the store last answered this daemon.
+	recovered, told, answered moment
 	// asks says that this daemon reads the store itself.
-	told atomic.Int64
 	asks atomic.Bool
-	// answered is when the store last answered this daemon, Unix nanoseconds.
-	answered atomic.Int64
 }
 
+// moment is a time that is read and replaced without a lock. It keeps the
+// monotonic reading: the time of day may be set while ages are told by it.
+type moment struct{ p atomic.Pointer[time.Time] }
+
+// Load returns the zero time before the first Store.
+func (m *moment) Load() time.Time {
+	if t := m.p.Load(); t != nil {
+		return *t
+	}
+	return time.Time{}
+}
+
+func (m *moment) Store(t time.Time) { m.p.Store(&t) }
+
 // NewTable returns an empty copy. changed may be nil.
 func NewTable(name string, changed func(*Snapshot)) *Table {
 	if changed == nil {
@@ -133,28 +145,19 @@
 
 // Answered returns when the store last answered a call of this daemon for the
 // table, the zero time if it has not.
-func (t *Table) Answered() time.Time {
-	ns := t.answered.Load()
-	if ns == 0 {
-		return time.Time{}
-	}
-	return time.Unix(0, ns)
-}
+func (t *Table) Answered() time.Time { return t.answered.Load() }
 
 // OutageEnd returns when the store last came back after an outage: now if it has
 // not, the zero time if there was none. A daemon that does not read the store
 // itself goes by what the daemon told from which it has its rows.
 func (t *Table) OutageEnd(now time.Time) time.Time {
-	ns := t.recovered.Load()
 	if !t.asks.Load() {
-		ns = t.told.Load()
-	} else if !t.storeOK.Load() {
-		return now
+		return t.told.Load()
 	}
-	if ns == 0 {
-		return time.Time{}
+	if !t.storeOK.Load() {
+		return now
 	}
-	return time.Unix(0, ns)
+	return t.recovered.Load()
 }
 
 // Apply takes in a batch and says whether the copy changed. A batch that is
@@ -206,8 +209,8 @@
 
 // tell notes the end of an outage that another daemon told.
 func (t *Table) tell(end time.Time) {
-	if !end.IsZero() && end.UnixNano() > t.told.Load() {
-		t.told.Store(end.UnixNano())
+	if end.After(t.told.Load()) {
+		t.told.Store(end)
 	}
 }
 
@@ -295,7 +298,7 @@
 	go f.followPeers(ctx)
 	var lost time.Time
 	regained := func() {
-		f.Table.recovered.Store(time.Now().UnixNano())
+		f.Table.recovered.Store(time.Now())
 		f.Table.storeOK.Store(true)
 		f.Events.StoreRegained(f.Table.name, time.Since(lost))
 		lost = time.Time{}
@@ -380,7 +383,7 @@
 }
 
 func (f *Follower) answered(b Batch) {
-	f.Table.answered.Store(time.Now().UnixNano())
+	f.Table.answered.Store(time.Now())
 	f.Table.Apply(b)
 }
 
--- a/internal/app/mirror/mirror_test.go
+++ b/internal/app/mirror/mirror_test.go
@@ -341,7 +341,7 @@
 		if end := table.OutageEnd(time.Now()); keys(table.Snapshot()) != "b2 " || !end.IsZero() {
 			t.Errorf("copy %s, an outage that ended at %v", keys(table.Snapshot()), end)
 		}
-		watcher.recovered.Store(time.Now().UnixNano())
+		watcher.recovered.Store(time.Now())
 		back := time.Now()
 		watcher.Apply(Batch{Rows: []Row{{Key: "b", Version: 4, Deleted: true}}, Version: 4})
 		time.Sleep(time.Second)
--- /dev/null
+++ b/internal/decide/repeats/clock_test.go
@@ -0,0 +1,44 @@
+package repeats
+
+import (
+	"testing"
+	"time"
+	"unsafe"
+)
+
+// stepped returns t as a process sees it after its time of day was set forward by d:
+// the monotonic reading is the same. No API makes such a time; its wall clock's
+// seconds are in the bits from 30 up.
+func stepped(t time.Time, d time.Duration) time.Time {
+	wall := (*uint64)(unsafe.Pointer(&t))
+	*wall += uint64(int64(d/time.Second)) << 30
+	return t
+}
+
+// Guards against a budget that is spent once more, or shut for good, because the time
+// of day was set.
+func TestTheBudgetDoesNotFollowTheTimeOfDay(t *testing.T) {
+	for _, step := range []time.Duration{time.Minute, -time.Minute} {
+		b := New(Limits{Slack: 10, Window: 10 * time.Second})
+		now := time.Now()
+		if got := stepped(now, step); got.Round(0).Sub(now.Round(0)) != step || got.Sub(now) != 0 {
+			t.Fatalf("the stepped time is %v later, %v by the monotonic clock", got.Round(0).Sub(now.Round(0)), got.Sub(now))
+		}
+		taken := 0
+		for i := range 40 {
+			if i == 20 {
+				now = stepped(now, step)
+			}
+			if b.Take(now, 1, 1) {
+				taken++
+			}
+		}
+		if taken != 6 {
+			t.Errorf("%d repeats beside a step of %v, want 6", taken, step)
+		}
+		now = now.Add(20 * time.Second)
+		if !b.Take(now, 1, 1) {
+			t.Errorf("the budget is shut 20 s after a step of %v", step)
+		}
+	}
+}
--- a/internal/decide/repeats/repeats.go
+++ b/internal/decide/repeats/repeats.go
@@ -26,7 +26,10 @@
 
 // Budget is one daemon's part for one pool. The caller serializes access.
 type Budget struct {
-	limits   Limits
+	limits Limits
+	// start is the time of the first call. The window is counted from it and not from
+	// the time of day, which may be set.
+	start    time.Time
 	requests [slots]float64
 	repeats  [slots]float64
 	epoch    int64
@@ -37,8 +40,11 @@
 
 func (b *Budget) turn(now time.Time) int {
 	width := max(int64(b.limits.Window)/(slots-1), 1)
-	e := now.UnixNano() / width
-	if b.epoch == 0 || e-b.epoch >= slots {
+	if b.start.IsZero() {
+		b.start = now
+	}
+	e := max(int64(now.Sub(b.start))/width, 0)
+	if e-b.epoch >= slots {
 		b.requests, b.repeats = [slots]float64{}, [slots]float64{}
 		b.epoch = e
 	}
