Measure a stream's stall by events and not by bytes

Operators' fault: stalled streams that sent a byte now and then never ended. It could happen here on streams that may be resumed: each chunk of bytes, also half of an event or a comment, restarted the time after which a silent stream is taken to another endpoint. Only the request's own limit ended it.

Change: the time counts from the last whole event that was passed on. A chunk that waits when the time ends still counts, and writing to a slow caller takes none of it. Streams that may not be resumed are not cut for silence, as before: they end with the request's limit.

Tests: TestBytesWithoutEventsAreAStall fails with the old start of the time (a stream of comments goes on for its whole 40 s); TestSlowButSoundStreamsGoOn (events just within the bound, in parts, a slow caller) passes before and after: it guards the change from cutting too much.

--- a/internal/app/forward/stream.go
+++ b/internal/app/forward/stream.go
@@ -53,8 +53,11 @@
 	var rest []byte
 	seen := false
 	var at time.Time
+	// event is when the last whole event was passed on. An endpoint that sends bytes
+	// or comments now and then and no event has stalled like a silent one.
+	event := s.f.now()
 	for {
-		c, ok := s.next(ctx, chunks, whole)
+		c, ok := s.next(ctx, chunks, whole, event)
 		if !ok {
 			return s.broken("no event for too long", nil)
 		}
@@ -82,6 +85,9 @@
 		if err := s.write(a, data, c.err == io.EOF); err != nil {
 			return err
 		}
+		if lastID(data) != "" {
+			event = s.f.now()
+		}
 		switch {
 		case c.err == io.EOF:
 			return nil
@@ -92,7 +98,8 @@
 }
 
 // next returns the next chunk, or false if the stream stalls and may be resumed.
-func (s *stream) next(ctx context.Context, chunks <-chan chunk, resumable bool) (chunk, bool) {
+// event is when the last whole event was passed on.
+func (s *stream) next(ctx context.Context, chunks <-chan chunk, resumable bool, event time.Time) (chunk, bool) {
 	if !resumable {
 		// The reader of the body ends without a word when ctx has ended.
 		select {
@@ -107,13 +114,19 @@
 		// The first event also waits for the prompt to be read.
 		limit = max(limit, s.x.target.Sub(s.f.now()))
 	}
-	t := time.NewTimer(limit)
+	end := event.Add(limit)
+	t := time.NewTimer(end.Sub(s.f.now()))
 	defer t.Stop()
-	for end := s.f.now().Add(limit); ; {
+	for {
 		select {
 		case c := <-chunks:
 			return c, true
 		case <-t.C:
+			select {
+			case c := <-chunks:
+				return c, true
+			default:
+			}
 			now := s.f.now()
 			if now.Sub(end) < lateTimer {
 				return chunk{}, false
--- a/internal/app/forward/stream_test.go
+++ b/internal/app/forward/stream_test.go
@@ -2,12 +2,15 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
+	"net/http"
 	"net/http/httptest"
 	"testing"
 	"testing/synctest"
 	"time"
 
+	"eelgrassgrade/internal/core"
 	"eelgrassgrade/internal/decide/catalog"
 )
 
@@ -21,7 +24,7 @@
 			chunks := make(chan chunk, 1)
 			time.AfterFunc(time.Second, func() { jump = pause })
 			time.AfterFunc(stallBase+pauseGrace/2, func() { chunks <- chunk{data: []byte("x")} })
-			if c, ok := s.next(context.Background(), chunks, true); ok != (pause > 0) {
+			if c, ok := s.next(context.Background(), chunks, true, time.Now()); ok != (pause > 0) {
 				t.Errorf("after a pause of %v: chunk %q, %t", pause, c.data, ok)
 			}
 		})
@@ -61,3 +64,90 @@
 		})
 	}
 }
+
+// drip gives an event, then parts of body one at a time.
+type drip struct {
+	parts []string
+	every time.Duration
+	sent  int
+}
+
+func (b *drip) Read(p []byte) (int, error) {
+	if b.sent == len(b.parts) {
+		return 0, io.EOF
+	}
+	if b.sent > 0 {
+		time.Sleep(b.every)
+	}
+	b.sent++
+	return copy(p, b.parts[b.sent-1]), nil
+}
+
+// slowWriter is a caller that takes a second for what it reads.
+type slowWriter struct{ *httptest.ResponseRecorder }
+
+func (w slowWriter) Write(p []byte) (int, error) {
+	time.Sleep(time.Second)
+	return w.ResponseRecorder.Write(p)
+}
+
+func (w slowWriter) Flush() {}
+
+func passed(t *testing.T, w http.ResponseWriter, every time.Duration, parts []string) *core.Error {
+	s := &stream{f: &Forwarder{now: time.Now}, w: w, first: func() {},
+		x: &exchange{req: &Request{Arrived: time.Now()}, route: &catalog.Route{Stream: true, Repeat: catalog.Resumable, GapTarget: 250 * time.Millisecond}}}
+	return s.pass(t.Context(), &Answer{Status: http.StatusOK, Header: http.Header{}, Body: io.NopCloser(&drip{parts: parts, every: every})})
+}
+
+// Guards against a stalled stream that never ends because its endpoint sends a byte
+// or a comment now and then.
+func TestBytesWithoutEventsAreAStall(t *testing.T) {
+	for name, part := range map[string]string{"bytes": "d", "comments": ": still here\n\n"} {
+		synctest.Test(t, func(t *testing.T) {
+			parts := []string{"id: 1\ndata: a\n\n"}
+			for range 100 {
+				parts = append(parts, part)
+			}
+			began := time.Now()
+			err := passed(t, httptest.NewRecorder(), 400*time.Millisecond, parts)
+			if took := time.Since(began); err == nil || took > stallBase+400*time.Millisecond {
+				t.Errorf("%s without an event: %v after %v", name, err, took)
+			}
+			time.Sleep(time.Minute)
+		})
+	}
+}
+
+// Guards against cutting a stream that is slow but sound: events that come late but
+// within the bound, also where each comes in many parts, and events that wait for
+// a caller which reads slowly.
+func TestSlowButSoundStreamsGoOn(t *testing.T) {
+	var events, halves []string
+	want := ""
+	for i := range 40 {
+		e := fmt.Sprintf("id: %d\ndata: x\n\n", i+1)
+		want += e
+		events = append(events, e)
+		halves = append(halves, e[:7], e[7:])
+	}
+	for name, c := range map[string]struct {
+		every time.Duration
+		parts []string
+		slow  bool
+	}{
+		"late events": {every: 1400 * time.Millisecond, parts: events},
+		"parts":       {every: 700 * time.Millisecond, parts: halves},
+		"slow caller": {every: 1400 * time.Millisecond, parts: events, slow: true},
+	} {
+		synctest.Test(t, func(t *testing.T) {
+			rec := httptest.NewRecorder()
+			var w http.ResponseWriter = rec
+			if c.slow {
+				w = slowWriter{rec}
+			}
+			if err := passed(t, w, c.every, c.parts); err != nil || rec.Body.String() != want {
+				t.Errorf("%s: %v after %d bytes of %d", name, err, rec.Body.Len(), len(want))
+			}
+		})
+	}
+}
