--- a/internal/app/forward/attempt.go
+++ b/internal/app/forward/attempt.go
@@ -17,8 +17,10 @@
 	// maxTries bounds the endpoints that one request is offered to, those that
 	// did not take it included.
 	maxTries = 4
-	// maxAnswer bounds an answer that is kept whole before it is passed on.
-	maxAnswer = 16 << 20
+	// maxKept bounds what of an answer is kept before it is passed on, in bytes. A
+	// longer one is passed on as it comes: an endpoint in trouble may send without
+	// end, and a daemon has about 100 MB for all its requests.
+	maxKept = 512 << 10
 	// reachTimeout bounds the check whether a broken endpoint is down.
 	reachTimeout = 250 * time.Millisecond
 )
@@ -226,20 +228,27 @@
 		}
 		return &core.Error{Kind: kind, Step: "endpoint", Peer: string(e.ID), Ran: core.RanNot, RetryAfter: 300 * time.Millisecond, Detail: "the endpoint did not take the request: status " + strconv.Itoa(a.Status)}
 	}
-	body, err := io.ReadAll(io.LimitReader(a.Body, maxAnswer+1))
 	switch {
 	case x.started:
 		// Only a stream can go on where another one broke off.
-		return &core.Error{Kind: core.Upstream, Step: "resume", Peer: string(e.ID), Ran: core.RanYes, Detail: "the endpoint did not resume the stream: status " + strconv.Itoa(a.Status), Err: err}
-	case err != nil:
-		return f.broken(ctx, x, e, began, &core.Error{Kind: core.Upstream, Step: "answer", Peer: string(e.ID), Detail: "the answer broke off", Err: err})
-	case len(body) > maxAnswer:
-		return &core.Error{Kind: core.Upstream, Step: "answer", Peer: string(e.ID), Ran: core.RanYes, Detail: "the answer is too large"}
+		return &core.Error{Kind: core.Upstream, Step: "resume", Peer: string(e.ID), Ran: core.RanYes, Detail: "the endpoint did not resume the stream: status " + strconv.Itoa(a.Status)}
 	case !a.Genuine:
 		return f.broken(ctx, x, e, began, &core.Error{Kind: core.Upstream, Step: "answer", Peer: string(e.ID), Detail: "the answer is not the endpoint's answer to this request"})
 	}
+	body, err := io.ReadAll(io.LimitReader(a.Body, maxKept+1))
+	if err != nil {
+		return f.broken(ctx, x, e, began, &core.Error{Kind: core.Upstream, Step: "answer", Peer: string(e.ID), Detail: "the answer broke off", Err: err})
+	}
 	ok := a.Status < http.StatusInternalServerError
+	if len(body) > maxKept {
+		if err := f.deliverLong(x, w, a, body); err != nil {
+			return f.broken(ctx, x, e, began, err)
+		}
+	}
 	f.tracker.observe(x.pool, e.ID, health.Sample{OK: ok, Form: health.Whole, Elapsed: f.now().Sub(began)}, false)
+	if len(body) > maxKept {
+		return nil
+	}
 	if !ok && x.route.Repeat == catalog.Repeatable && x.out.Attempts < x.route.Attempts && f.now().Add(minRemaining).Before(x.deadline) && f.budget.Take(x.pool, 1) {
 		e := &core.Error{Kind: core.Upstream, Step: "answer", Peer: string(e.ID), Ran: core.RanYes, Detail: "the endpoint failed: status " + strconv.Itoa(a.Status)}
 		f.events.Again(x.req, x.pool, "failed and may run again", true, e)
@@ -261,8 +270,8 @@
 		x.out.Attempts++
 		x.out.Endpoint = e.ID
 		f.events.Sent(x.req, x.pool, choice(list), x.out.Attempts, x.deadline.Sub(f.now()))
-		if err := f.attempt(ctx, x, list[0], &stream{f: f, x: x, w: w}); err == nil {
-			return nil
+		if err := f.attempt(ctx, x, list[0], &stream{f: f, x: x, w: w}); err == nil || x.started {
+			return err
 		}
 	}
 	f.deliver(x, w, a, body)
@@ -282,6 +291,26 @@
 	}
 }
 
+// deliverLong passes an answer on that is too long to be kept. begun is what was
+// read of it. If it breaks off, the caller's connection has to be cut.
+func (f *Forwarder) deliverLong(x *exchange, w http.ResponseWriter, a *Answer, begun []byte) *core.Error {
+	for k, v := range a.Header {
+		w.Header()[k] = v
+	}
+	if a.Length >= 0 {
+		w.Header().Set("Content-Length", strconv.FormatInt(a.Length, 10))
+	}
+	x.started, x.out.Status, x.out.FirstByte = true, a.Status, f.now().Sub(x.req.Arrived)
+	w.WriteHeader(a.Status)
+	if _, err := w.Write(begun); err != nil {
+		return &core.Error{Kind: core.Internal, Step: "caller", Ran: core.RanYes, Detail: "the caller does not read the answer", Err: err}
+	}
+	if _, err := io.Copy(w, a.Body); err != nil {
+		return &core.Error{Kind: core.Upstream, Step: "answer", Peer: string(x.out.Endpoint), Ran: core.RanYes, Detail: "the answer broke off", Err: err}
+	}
+	return nil
+}
+
 // broken notes a request that got no answer from an endpoint.
 func (f *Forwarder) broken(ctx context.Context, x *exchange, e core.Endpoint, began time.Time, err *core.Error) error {
 	if ctx.Err() == context.Canceled {
--- a/internal/app/forward/fake_test.go
+++ b/internal/app/forward/fake_test.go
@@ -26,6 +26,7 @@
 	// notStarted, inputsGone and forged describe the answer.
 	notStarted, inputsGone, forged bool
 	body                           string
+	length                         int64
 	// breaks cuts the answer after its body.
 	breaks bool
 	wait   time.Duration
@@ -131,7 +132,7 @@
 	if status == 0 {
 		status = http.StatusOK
 	}
-	return &Answer{Status: status, Header: http.Header{"X-From": {string(e.ID)}}, Body: io.NopCloser(body), NotStarted: a.notStarted,
+	return &Answer{Status: status, Header: http.Header{"X-From": {string(e.ID)}}, Body: io.NopCloser(body), Length: a.length, NotStarted: a.notStarted,
 		InputsGone: a.inputsGone, Genuine: !a.forged && !a.notStarted}, nil
 }
 
--- a/internal/app/forward/forward_test.go
+++ b/internal/app/forward/forward_test.go
@@ -478,3 +478,36 @@
 		}
 	})
 }
+
+// Guards against a daemon that keeps long answers whole until its memory is used up,
+// against long answers that are cut or changed, and against one that breaks off and
+// looks complete.
+func TestLongAnswersAreNotKept(t *testing.T) {
+	long := strings.Repeat("0123456789abcdef", maxKept/8)
+	for _, c := range []struct {
+		act
+		cut bool
+	}{{act: act{body: long, length: int64(len(long))}}, {act: act{body: long, length: -1}}, {act: act{body: long, length: -1, breaks: true}, cut: true}} {
+		for _, route := range []string{"once", "safe"} {
+			start(t, 2, func(w *world) {
+				w.script = func(core.Endpoint, *Outgoing, int) act { return c.act }
+				got := w.ask(context.Background(), route, nil)
+				if got.body != long || got.cut != c.cut || (got.err != nil) != c.cut || len(w.sends) != 1 {
+					t.Errorf("%s, length %d: %d bytes of %d, cut %t, %v, %d sends", route, c.length, len(got.body), len(long), got.cut, got.err, len(w.sends))
+				}
+			})
+		}
+	}
+}
+
+// Guards against reading bytes that are no answer of the endpoint: they may come
+// without end.
+func TestAForgedAnswerIsNotRead(t *testing.T) {
+	start(t, 1, func(w *world) {
+		w.script = func(core.Endpoint, *Outgoing, int) act { return act{body: "x", forged: true, rest: time.Hour} }
+		began := time.Now()
+		if got := w.ask(context.Background(), "once", nil); got.err == nil || got.err.Ran == core.RanNot || time.Since(began) > 0 {
+			t.Errorf("%v after %v", got.err, time.Since(began))
+		}
+	})
+}
--- a/internal/app/forward/ports.go
+++ b/internal/app/forward/ports.go
@@ -65,6 +65,8 @@
 	// Header holds what goes to the caller.
 	Header http.Header
 	Body   io.ReadCloser
+	// Length is the length of Body in bytes, -1 if the endpoint does not say.
+	Length int64
 	// NotStarted says that the endpoint states it did not begin the request.
 	NotStarted bool
 	// Genuine says that the answer is marked as the endpoint's own for this request.
