Exchange by need in large fleets, and tell only waits that there are

Cause of the processor time at 195 daemons, by a profile of 100 real daemons in one process without traffic (scratch test): 19 ms a second for each. Two thirds are the 80 exchanges that each takes part in, 10% the waits of stage groups, which every daemon told for every group, although all but the coordinators tell zeros.

Weighed: relays by data centre (one more hop and a role that can fail), delta statuses (the exchange itself costs, not its bytes), fewer exchanges for all (the loss of a coordinator would take 10 s to show). Taken: above 20 others, 10 instead of 24 exchanges in each 300 ms by turns, and besides those that matter: with a daemon on which work waits, in each interval, so that its loss shows within 1.1 s and two intervals at any size (it took up to 4.5 s at 195); with one that has work in its queues, each 0.9 s. A new daemon starts more until it has met the others. Waits are told where work waits; statuses that repeat the last one build no view.

TestTheLossOfAWatchedDaemonShowsAtOnceInALargeFleet (195 daemons on virtual time) and TestDaemonsWithWorkWaitingAreHeardMoreOften guard the two.

--- a/internal/app/fleet/fleet.go
+++ b/internal/app/fleet/fleet.go
@@ -29,6 +29,9 @@
 	// that were not alive before are always told it.
 	knownEach = 8
 	startTime = 3 * time.Second
+	// meetTime is the time in which a daemon starts as many exchanges as it may, in
+	// order to meet hundreds of others.
+	meetTime = 6 * time.Second
 	// dropAfter failed exchanges in a row the connection is replaced, since an
 	// open one may be silent while new ones work.
 	dropAfter = 2
@@ -36,11 +39,19 @@
 	forgetAfter = time.Minute
 	// freshFor is how long a peer that was heard gets no exchange.
 	freshFor = 6 * interval / 10
-	// maxStarted bounds the exchanges that a daemon starts in an interval. It gets
-	// as many from others. maxPeers of them are planned for; the rest makes up for
-	// exchanges that fail.
-	maxStarted = 12
-	maxPeers   = 2*maxStarted - 4
+	// maxStarted bounds the exchanges that a daemon starts in an interval by turns. It
+	// gets as many from others. Up to allPeers others, all are heard in an interval;
+	// above, plannedEach in each: exchanges are most of what a daemon of hundreds
+	// spends. The rest makes up for exchanges that fail.
+	maxStarted  = 12
+	allPeers    = 2*maxStarted - 4
+	manyStarted = 5
+	plannedEach = 2*manyStarted - 2
+	// loadedEach is the time between two exchanges with a daemon in whose queues work
+	// waits: where work goes and what is refused depends on it.
+	loadedEach = 900 * time.Millisecond
+	// maxUrgent bounds the exchanges beside those by turns.
+	maxUrgent = 24
 	// maxTold bounds the daemons that a status lists.
 	maxTold = 48
 	// maxKnown bounds the daemons that are remembered.
@@ -145,6 +156,9 @@
 	alive    bool
 	listed   bool
 	died     chan struct{}
+	// watches counts those that wait for work at the peer, since watchedAt.
+	watches   int
+	watchedAt time.Time
 	// former holds the incarnations before the one of status, the latest last.
 	former []int64
 }
@@ -183,13 +197,28 @@
 // turns returns the number of intervals in which each peer is due once. The
 // caller holds mu.
 func (f *Fleet) turns() time.Duration {
-	return time.Duration(max((len(f.peers)+maxPeers-1)/maxPeers, 1))
+	if len(f.peers) <= allPeers {
+		return 1
+	}
+	return time.Duration((len(f.peers) + plannedEach - 1) / plannedEach)
 }
 
-// silence returns how long a daemon may be silent and count as alive. The caller
-// holds mu.
-func (f *Fleet) silence() time.Duration {
-	return aliveFor + (f.turns()-1)*interval*5/4
+// started returns how many exchanges this daemon starts in an interval by turns: more
+// while it is new, until it has met the others. The caller holds mu.
+func (f *Fleet) started() int {
+	if len(f.peers) <= allPeers || f.now().Sub(f.born) < meetTime {
+		return maxStarted
+	}
+	return manyStarted
+}
+
+// lapsed says whether a peer has been silent for too long to count as alive. One on
+// which work waits is heard in each interval. The caller holds mu.
+func (f *Fleet) lapsed(p *peer, now time.Time) bool {
+	if p.watches > 0 && now.Sub(p.heard) >= aliveFor && now.Sub(p.watchedAt) >= aliveFor {
+		return true
+	}
+	return now.Sub(p.heard) >= aliveFor+(f.turns()-1)*interval*5/4
 }
 
 // Options of a Fleet.
@@ -276,17 +305,17 @@
 	f.refresh()
 }
 
-// due returns the peers to exchange with in this interval: those that were not
-// heard or tried for the longest time, at most maxStarted. An exchange tells both
-// sides, so one of each two daemons starts it; the other one does when that is
-// overdue.
+// due returns the peers to exchange with in this interval: those on which work
+// waits, those that told of waits, and those that were not heard or tried for the
+// longest time. An exchange tells both sides, so one of each two daemons starts it;
+// the other one does when that is overdue.
 func (f *Fleet) due() []*peer {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	now := f.now()
 	starts := f.starts()
 	overdue := f.turns()*interval + interval/2
-	var list []*peer
+	var list, urgent []*peer
 	for addr, p := range f.peers {
 		if !p.listed && now.Sub(p.added) > forgetAfter && now.Sub(p.heard) > forgetAfter {
 			delete(f.peers, addr)
@@ -297,7 +326,12 @@
 		if !starts[addr] {
 			wait = overdue
 		}
-		if !p.busy && now.Sub(p.last()) >= wait {
+		last := now.Sub(p.last())
+		switch {
+		case p.busy:
+		case p.watches > 0 && last >= freshFor, p.alive && len(p.status.Waits) > 0 && last >= loadedEach:
+			urgent = append(urgent, p)
+		case last >= wait:
 			list = append(list, p)
 		}
 	}
@@ -310,7 +344,9 @@
 		}
 		return cmp.Or(a.last().Compare(b.last()), cmp.Compare(a.address, b.address))
 	})
-	list = list[:min(len(list), maxStarted)]
+	list = list[:min(len(list), f.started())]
+	slices.SortFunc(urgent, func(a, b *peer) int { return cmp.Or(a.last().Compare(b.last()), cmp.Compare(a.address, b.address)) })
+	list = append(list, urgent[:min(len(urgent), maxUrgent)]...)
 	for _, p := range list {
 		p.busy, p.tried = true, now
 	}
@@ -459,8 +495,10 @@
 		p.former = p.former[max(len(p.former)-maxFormer, 0):]
 	}
 	p.member, p.status, p.heard = s.Member, s, f.now()
-	f.totals.replace(before, s)
-	f.outdated.Store(true)
+	if before == nil || !sameWork(before, s) {
+		f.totals.replace(before, s)
+		f.outdated.Store(true)
+	}
 	if newcomer = !p.alive; newcomer {
 		p.alive = true
 		f.events.PeerAlive(p.member)
@@ -514,9 +552,9 @@
 func (f *Fleet) refresh() {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	now, silence := f.now(), f.silence()
+	now := f.now()
 	for _, p := range f.peers {
-		if p.alive && now.Sub(p.heard) >= silence {
+		if p.alive && f.lapsed(p, now) {
 			f.lost(p)
 			f.outdated.Store(true)
 		}
@@ -550,15 +588,24 @@
 	f.view.Store(v)
 }
 
-// Died returns a channel that is closed when the daemon is lost or restarted. A
-// daemon that is not alive has a closed channel.
-func (f *Fleet) Died(address string) <-chan struct{} {
+// Watch returns a channel that is closed when the daemon is lost or restarted. A
+// daemon that is not alive has a closed channel. Until stop is called the daemon is
+// heard in each interval, so that its loss shows as soon among hundreds as among few.
+func (f *Fleet) Watch(address string) (died <-chan struct{}, stop func()) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if p := f.peers[address]; p != nil && p.alive {
-		return p.died
+	p := f.peers[address]
+	if p == nil || !p.alive {
+		c := make(chan struct{})
+		close(c)
+		return c, func() {}
+	}
+	if p.watches++; p.watches == 1 {
+		p.watchedAt = f.now()
+	}
+	return p.died, func() {
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		p.watches--
 	}
-	c := make(chan struct{})
-	close(c)
-	return c
 }
--- a/internal/app/fleet/fleet_test.go
+++ b/internal/app/fleet/fleet_test.go
@@ -167,7 +167,7 @@
 // not found again; work waits on it until then.
 func TestALostDaemonIsNoticedAndFoundAgain(t *testing.T) {
 	start(t, 3, func(net *network, list []*Fleet) {
-		died := list[0].Died("a2")
+		died, _ := list[0].Watch("a2")
 		net.set("a2", true)
 		time.Sleep(1600 * time.Millisecond)
 		if got := alive(list[0]); got != "d0 d1 " {
@@ -206,7 +206,7 @@
 // nothing of it.
 func TestARestartIsNoticed(t *testing.T) {
 	start(t, 2, func(_ *network, list []*Fleet) {
-		died := list[0].Died("a1")
+		died, _ := list[0].Watch("a1")
 		list[0].Receive(&Status{Member: member(1), Incarnation: time.Now().UnixNano()})
 		select {
 		case <-died:
@@ -316,7 +316,7 @@
 	f, _ := idle()
 	before, after := &Status{Member: member(1), Incarnation: 9_000}, &Status{Member: member(1), Incarnation: 4_000, Loads: []EndpointLoad{{Endpoint: "e", Running: 1}}}
 	f.heard(before)
-	died := f.Died("a1")
+	died, _ := f.Watch("a1")
 	f.heard(after)
 	select {
 	case <-died:
@@ -329,3 +329,50 @@
 		t.Errorf("after a late word of the earlier incarnation the view is %+v", v)
 	}
 }
+
+// Pattern: 195 daemons, of which each is heard every few seconds by turns. The loss of
+// one on which work waits must show as soon as among eight, and a daemon with work
+// in its queues must be heard of more often than by turns.
+func TestTheLossOfAWatchedDaemonShowsAtOnceInALargeFleet(t *testing.T) {
+	start(t, 195, func(net *network, list []*Fleet) {
+		time.Sleep(12 * time.Second)
+		if n := len(list[0].View().Alive); n != 195 {
+			t.Fatalf("sees %d of 195", n)
+		}
+		died, stop := list[0].Watch("a100")
+		time.Sleep(5 * time.Second)
+		select {
+		case <-died:
+			t.Fatal("a daemon that is alive counts as lost")
+		default:
+		}
+		net.set("a100", true)
+		began := time.Now()
+		<-died
+		if took := time.Since(began); took > aliveFor+2*interval {
+			t.Errorf("the loss shows after %v", took)
+		}
+		stop()
+		net.set("a100", false)
+		time.Sleep(10 * time.Second)
+		if n := len(list[0].View().Alive); n != 195 {
+			t.Errorf("sees %d of 195 after its return", n)
+		}
+	})
+}
+
+// Guards against waits that are as old as a turn among hundreds of daemons.
+func TestDaemonsWithWorkWaitingAreHeardMoreOften(t *testing.T) {
+	f, now, status := large(195)
+	loaded := status(7)
+	loaded.Waits = []GroupWait{{StageGroup{"p", 1}, []time.Duration{time.Second}}}
+	f.heard(loaded)
+	*now = now.Add(loadedEach)
+	found := false
+	for _, p := range f.due() {
+		found = found || p.address == "a7"
+	}
+	if !found {
+		t.Errorf("the daemon is not due %v after it told of waits", loadedEach)
+	}
+}
--- a/internal/app/fleet/totals.go
+++ b/internal/app/fleet/totals.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"slices"
 	"time"
 
 	"eelgrassgrade/internal/core"
@@ -64,6 +65,14 @@
 	t.loads[l.Endpoint] = sum
 }
 
+// sameWork says whether two statuses of a daemon add the same to the totals, as those
+// of an idle daemon do.
+func sameWork(a, b *Status) bool {
+	return slices.Equal(a.Loads, b.Loads) && slices.EqualFunc(a.Waits, b.Waits, func(x, y GroupWait) bool {
+		return x.StageGroup == y.StageGroup && slices.Equal(x.Wait, y.Wait)
+	})
+}
+
 func tells(s *Status, g StageGroup) bool {
 	for _, w := range s.Waits {
 		if w.StageGroup == g {
--- a/internal/app/stagework/client.go
+++ b/internal/app/stagework/client.go
@@ -200,11 +200,13 @@
 	}
 	call, cancel := context.WithCancel(ctx)
 	defer cancel()
+	died, unwatch := c.fleet.Watch(m.Address)
+	defer unwatch()
 	stop := make(chan struct{})
 	defer close(stop)
 	go func() {
 		select {
-		case <-c.fleet.Died(m.Address):
+		case <-died:
 			cancel()
 		case <-stop:
 		}
--- a/internal/app/stagework/queue.go
+++ b/internal/app/stagework/queue.go
@@ -15,15 +15,17 @@
 	defer p.mu.Unlock()
 	now := p.c.now()
 	usable := p.usable(now)
-	if len(p.replicas) == 0 && len(p.queue) == 0 {
-		return nil
-	}
 	var ahead [lastRank + 1]int
 	for _, it := range p.queue {
 		if it.Start.After(now) {
 			ahead[min(it.Rank, lastRank)]++
 		}
 	}
+	if ahead == [lastRank + 1]int{} {
+		// Most daemons coordinate nothing. Among hundreds, what says nothing is not
+		// told with each status.
+		return nil
+	}
 	out := make([]time.Duration, lastRank+1)
 	rate := p.rate(now, usable)
 	sum, overtaking := 0, 0.0
