Log an endpoint's wish for a pause

Missing: an operator saw from an endpoint's silence in the log that it got no work, but not why, where it had asked for a pause with 503 and Retry-After.

Change: one line endpoint_listed what="asks for a pause" when a pause begins; a longer pause within it is not told again. The test counts the changes and fails without it.

--- a/internal/app/endpoints/word.go
+++ b/internal/app/endpoints/word.go
@@ -59,8 +59,8 @@
 		return
 	}
 	now := s.now()
-	if w.Rest > 0 {
-		s.words.setRest(now, listed, min(w.Rest, MaxRest))
+	if w.Rest > 0 && s.words.setRest(now, listed, min(w.Rest, MaxRest)) {
+		s.changed(s.view.Load(), []Change{{listed, "asks for a pause"}})
 	}
 	if w.Leaving && s.words.setLeft(now, listed) {
 		s.publish([]Change{{listed, "says that it leaves"}})
@@ -81,7 +81,8 @@
 	return time.Time{}
 }
 
-func (w *words) setRest(now time.Time, e Entry, d time.Duration) {
+// setRest says whether the endpoint was not asking for a pause already.
+func (w *words) setRest(now time.Time, e Entry, d time.Duration) bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	for id, r := range w.rest {
@@ -91,10 +92,11 @@
 	}
 	r := w.rest[e.ID]
 	if r.born == e.Born && r.until.After(now.Add(d)) || len(w.rest) >= maxWords {
-		return
+		return false
 	}
 	w.rest[e.ID] = restWord{e.Born, now.Add(d)}
 	w.resting.Store(int32(len(w.rest)))
+	return r.born != e.Born || !r.until.After(now)
 }
 
 // setLeft says whether the endpoint's word is new.
--- a/internal/app/endpoints/word_test.go
+++ b/internal/app/endpoints/word_test.go
@@ -60,6 +60,9 @@
 	end := f.now.Add(3 * time.Second)
 	f.now = f.now.Add(time.Second)
 	f.set.Heard(a.Endpoint, Word{Rest: time.Second})
+	if got := f.changes[len(f.changes)-1]; len(f.changes) != 2 || got != "a asks for a pause" {
+		t.Errorf("%d changes, the last is %q; the pause is to be told once", len(f.changes), got)
+	}
 	if got := f.set.RestUntil(a); !got.Equal(end) {
 		t.Errorf("the pause ends at %v, want %v", got, end)
 	}
