--- a/cmd/eelgrassd/main.go
+++ b/cmd/eelgrassd/main.go
@@ -5,6 +5,7 @@
 	"context"
 	"flag"
 	"fmt"
+	"log"
 	"os"
 	"os/signal"
 	"syscall"
@@ -59,7 +60,11 @@
 	}
 	out := telemetry.NewLineWriter(os.Stdout)
 	defer out.Close()
-	d, err := edge.New(context.Background(), path, telemetry.NewLogger(out))
+	logger := telemetry.NewLogger(out)
+	// Lines of the libraries, such as of bytes on an unused connection, go the same way.
+	log.SetFlags(0)
+	log.SetOutput(logger)
+	d, err := edge.New(context.Background(), path, logger)
 	if err != nil {
 		return err
 	}
