Leave later stages their share of the time before a piece waits for its data centre

A piece waited there until one call before its latest start, so that the first stage used up what the later ones would have needed; pieces with small results waited too. Change: only results of 64 KB and more for a request have a place, and a piece waits while it has the time of a call to spare for this stage and for each that follows.

--- a/internal/app/forward/forward_test.go
+++ b/internal/app/forward/forward_test.go
@@ -240,6 +240,26 @@
 	})
 }
 
+// Guards against small results that wait for an endpoint in the data centre of the
+// engine: moving them costs nothing, and the wait is lost to the stages that follow.
+func TestOnlyLargeResultsHaveAPlace(t *testing.T) {
+	start(t, 2, func(w *world) {
+		w.script = func(core.Endpoint, *Outgoing, int) act { return act{body: "id: 1\ndata: a\n\n"} }
+		for _, c := range []struct {
+			pieces int
+			near   core.DataCenterID
+		}{{2, ""}, {100, "a"}} {
+			w.tasks = nil
+			if got := w.ask(context.Background(), "staged", func(r *Request) { r.Pieces = []int{c.pieces, 1} }); got.err != nil {
+				t.Fatal(got.err)
+			}
+			if n := w.tasks[0].Near; n != c.near {
+				t.Errorf("%d results of 1,000 bytes are to be made in %q, want %q", c.pieces, n, c.near)
+			}
+		}
+	})
+}
+
 // Guards against a request that fails because the endpoint which kept a result
 // is gone, and against making results again without end.
 func TestLostResultsAreMadeAgainOnce(t *testing.T) {
--- a/internal/app/forward/stages.go
+++ b/internal/app/forward/stages.go
@@ -160,9 +160,9 @@
 	return &named
 }
 
-// largeInputs is the size of inputs, in bytes, from which on it matters where
-// they are and how long they wait.
-const largeInputs = 64 << 10
+// largeResults is the size of a stage's results, in bytes, from which on it matters
+// where they are and how long they wait.
+const largeResults = 64 << 10
 
 // stageTask waits for what a stage takes and makes its task.
 func (f *Forwarder) stageTask(ctx context.Context, x *exchange, i int, results [][]stagework.Result, done []chan struct{}, users []int) (*stagework.Task, error) {
@@ -170,6 +170,9 @@
 	t := &stagework.Task{Pool: s.Pool, Request: x.req.ID, Account: x.account, Stage: i, Pieces: x.req.Pieces[i], Rank: x.rank,
 		ResultBytes: s.ResultBytes, Near: x.near, Repeat: x.stageRuns > 1, Later: x.plan.later[i],
 		Start: x.target.Add(-x.plan.tail[i]), Deadline: x.begin.Add(-x.plan.tail[i])}
+	if s.ResultBytes*t.Pieces < largeResults {
+		t.Near = ""
+	}
 	weight := map[core.DataCenterID]int{}
 	total := 0
 	for _, a := range s.After {
@@ -184,7 +187,7 @@
 			total += x.route.Stages[a].ResultBytes
 		}
 	}
-	t.Holds = total >= largeInputs
+	t.Holds = total >= largeResults
 	if t.From = x.near; len(weight) > 0 {
 		t.From = heaviest(weight)
 		t.Near = ""
--- a/internal/decide/batching/batching.go
+++ b/internal/decide/batching/batching.go
@@ -88,8 +88,8 @@
 	// be late for it are left to other endpoints while these exist.
 	Extra time.Duration
 	// DataCenter is where the endpoint stands. A piece that is wanted in another
-	// data centre, and that has an endpoint there, waits for that one until
-	// Patience before its latest start.
+	// data centre, and that has an endpoint there, waits for that one while it has
+	// Patience to spare for this stage and as much for each that follows.
 	DataCenter string
 	Patience   time.Duration
 	// Local says whether a data centre has endpoints of the pool in rotation.
@@ -98,7 +98,7 @@
 
 // waits says whether a piece waits for an endpoint of its own data centre.
 func (l *Limits) waits(now time.Time, p *Piece) bool {
-	return p.Near != "" && p.Near != l.DataCenter && l.Local != nil && p.Start.After(now.Add(l.Patience)) && l.Local(p.Near)
+	return p.Near != "" && p.Near != l.DataCenter && l.Local != nil && p.Start.After(now.Add(time.Duration(1+p.Later)*l.Patience)) && l.Local(p.Near)
 }
 
 // smallPart is the part of the room that a piece may take which overtakes one
--- a/internal/decide/batching/batching_test.go
+++ b/internal/decide/batching/batching_test.go
@@ -103,15 +103,18 @@
 	for _, c := range []struct {
 		name  string
 		start int
+		later int
 		local bool
 		want  int
 	}{
-		{"time left", 400, true, 0},
-		{"little time left", 200, true, 1},
-		{"late", -10, true, 1},
-		{"no endpoint in its data centre", 400, false, 1},
+		{"time left", 400, 0, true, 0},
+		{"little time left", 200, 0, true, 1},
+		{"late", -10, 0, true, 1},
+		{"no endpoint in its data centre", 400, 0, false, 1},
+		{"time left for this stage, not for the two after it", 800, 2, true, 1},
+		{"time left for all three stages", 1000, 2, true, 0},
 	} {
-		got := Choose(now, []*Piece{{Start: in(c.start), Near: "b"}}, limits(c.local))
+		got := Choose(now, []*Piece{{Start: in(c.start), Near: "b", Later: c.later}}, limits(c.local))
 		if len(got) != c.want {
 			t.Errorf("%s: chose %v", c.name, got)
 		}
