Let requests with time to spare wait at the home of their prompt

The weight of reading a part again was cut at 120 ms, so that a home with a short queue lost requests that would have been in time there, and the reading delays the streams beside it. Change: the weight is bounded by the time that the request has to spare.

--- a/internal/app/forward/attempt.go
+++ b/internal/app/forward/attempt.go
@@ -58,8 +58,9 @@
 	if !x.route.PromptAffinity {
 		parts = nil
 	}
-	out := placement.Order(parts, good)
-	return append(out, placement.Order(parts, poor)...)
+	spare := x.target.Sub(now) - f.paces.expect(x.route.Name)
+	out := placement.Order(parts, spare, good)
+	return append(out, placement.Order(parts, spare, poor)...)
 }
 
 // resume moves the times of a stream that broke off: it has begun, so that the rest
--- a/internal/decide/placement/placement.go
+++ b/internal/decide/placement/placement.go
@@ -44,10 +44,11 @@
 	// a millisecond, used only to weigh cached parts against load.
 	prefillPerMs = 40
 	// againFactor weighs shared tokens that are read again although another engine
-	// has them, up to maxAgainCost: the reading takes time from all requests that
-	// run beside it.
+	// has them: the reading takes time from all requests that run beside it. The
+	// weight is bounded by the time that the request has to spare, minAgainCost at
+	// least: it waits at its home as long as it is in time there.
 	againFactor  = 4
-	maxAgainCost = 120 * time.Millisecond
+	minAgainCost = 120 * time.Millisecond
 	// runningCost is the assumed delay that each running request adds to the
 	// first event of another one.
 	runningCost = time.Millisecond
@@ -73,8 +74,9 @@
 
 // Order returns the candidates, best first. The home of a shared prompt part is
 // found by rendezvous hashing, so that all daemons agree on it without a
-// message; a loaded home yields to the next one and then to any endpoint.
-func Order(parts []Part, all []Candidate) []Candidate {
+// message; a loaded home yields to the next one and then to any endpoint, the
+// sooner the less time the request has to spare until its answer should begin.
+func Order(parts []Part, spare time.Duration, all []Candidate) []Candidate {
 	type scored struct {
 		c    Candidate
 		home uint64
@@ -119,7 +121,7 @@
 		ms := float64(unread+c.c.PrefillTokens) / prefillPerMs
 		c.cost = time.Duration(ms*max(c.c.Slow, 1)*float64(time.Millisecond)) +
 			time.Duration(c.c.Running)*runningCost + c.c.Cost +
-			min(time.Duration(again)*againFactor*time.Millisecond/prefillPerMs, maxAgainCost)
+			min(time.Duration(again)*againFactor*time.Millisecond/prefillPerMs, max(spare, minAgainCost))
 		if c.c.Slots > 0 && c.c.Running >= c.c.Slots {
 			c.cost += fullCost
 		}
