Let a daemon that starts meet the others before it coordinates

Cause: after a loss of power of all machines each daemon knows only itself for some hundred milliseconds and coordinates all groups. Change: a daemon exchanges with all that it knows as soon as it has read the list of daemons, and hands on stage tasks when it has met them, a second after its start at the latest. Tests fail first: a daemon sent calls itself.

--- a/internal/app/fleet/fleet.go
+++ b/internal/app/fleet/fleet.go
@@ -29,6 +29,8 @@
 	// meetTime is the time in which a daemon starts as many exchanges as it may, in
 	// order to meet hundreds of others.
 	meetTime = 6 * time.Second
+	// metWithin bounds how long a daemon counts as not having met the others.
+	metWithin = time.Second
 	// dropAfter failed exchanges in a row the connection is replaced, since an
 	// open one may be silent while new ones work.
 	dropAfter = 2
@@ -40,10 +42,12 @@
 	// gets as many from others. Up to allPeers others, all are heard in an interval;
 	// above, plannedEach in each: exchanges are most of what a daemon of hundreds
 	// spends. The rest makes up for exchanges that fail.
-	maxStarted  = 12
-	allPeers    = 2*maxStarted - 4
-	manyStarted = 5
-	plannedEach = 2*manyStarted - 2
+	maxStarted = 12
+	// firstStarted replaces maxStarted until a daemon has met the others.
+	firstStarted = 64
+	allPeers     = 2*maxStarted - 4
+	manyStarted  = 5
+	plannedEach  = 2*manyStarted - 2
 	// loadedEach is the time between two exchanges with a daemon in whose queues work
 	// waits: where work goes and what is refused depends on it.
 	loadedEach = 900 * time.Millisecond
@@ -150,9 +154,11 @@
 	added    time.Time
 	failures int
 	busy     bool
-	alive    bool
-	listed   bool
-	died     chan struct{}
+	// met says that an exchange with the peer has ended, or that it was heard.
+	met    bool
+	alive  bool
+	listed bool
+	died   chan struct{}
 	// watches counts those that wait for work at the peer, since watchedAt.
 	watches   int
 	watchedAt time.Time
@@ -174,9 +180,16 @@
 	// outdated says that the totals have changed since the view was built.
 	outdated atomic.Bool
 	leaving  atomic.Bool
+	// met is closed when the daemon has met the others. wake asks for exchanges
+	// before the next interval.
+	met  chan struct{}
+	wake chan struct{}
 
 	mu    sync.Mutex
 	peers map[string]*peer // by address
+	// listKnown says that the platform's list of daemons was read, hasMet that met is
+	// closed.
+	listKnown, hasMet bool
 	// starting holds the peers with which this daemon starts the exchanges. It is
 	// nil after a change of peers.
 	starting map[string]bool
@@ -205,7 +218,7 @@
 // New returns a fleet that knows only itself.
 func New(o Options) *Fleet {
 	f := &Fleet{self: o.Self, born: o.Now(), transport: o.Transport, source: o.Source, events: o.Events,
-		onStatus: o.OnStatus, now: o.Now, peers: map[string]*peer{}, totals: newTotals(), newest: map[string]Holder{}}
+		onStatus: o.OnStatus, now: o.Now, met: make(chan struct{}), wake: make(chan struct{}, 1), peers: map[string]*peer{}, totals: newTotals(), newest: map[string]Holder{}}
 	f.view.Store(&View{Alive: []Member{o.Self}})
 	return f
 }
@@ -232,6 +245,53 @@
 	for _, m := range members {
 		f.add(m, listed)
 	}
+	f.listKnown = f.listKnown || listed
+	f.checkMet()
+}
+
+// Met returns a channel that is closed when the daemon has met the others: it has read
+// the list of daemons and exchanged, or tried to, with each that it knows, or has run
+// for a second. Before that it does not know who coordinates what. A daemon that
+// knows no other has met all.
+func (f *Fleet) Met() <-chan struct{} {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if len(f.peers) == 0 {
+		alone := make(chan struct{})
+		close(alone)
+		return alone
+	}
+	return f.met
+}
+
+// checkMet notes when all others are met, and has those that were not tried yet tried
+// without waiting for the next interval. The caller holds mu.
+func (f *Fleet) checkMet() {
+	if f.hasMet || !f.listKnown {
+		return
+	}
+	missing, untried := false, false
+	for _, p := range f.peers {
+		missing = missing || !p.met
+		untried = untried || !p.met && !p.busy
+	}
+	if !missing {
+		f.setMet()
+	}
+	if untried {
+		select {
+		case f.wake <- struct{}{}:
+		default:
+		}
+	}
+}
+
+// setMet is called with mu held.
+func (f *Fleet) setMet() {
+	if !f.hasMet {
+		f.hasMet = true
+		close(f.met)
+	}
 }
 
 func (f *Fleet) add(m Member, listed bool) *peer {
--- a/internal/app/fleet/schedule.go
+++ b/internal/app/fleet/schedule.go
@@ -20,6 +20,9 @@
 // started returns how many exchanges this daemon starts in an interval by turns: more
 // while it is new, until it has met the others. The caller holds mu.
 func (f *Fleet) started() int {
+	if !f.hasMet {
+		return firstStarted
+	}
 	if len(f.peers) <= allPeers || f.now().Sub(f.born) < meetTime {
 		return maxStarted
 	}
@@ -39,12 +42,18 @@
 func (f *Fleet) Run(ctx context.Context) {
 	t := time.NewTicker(interval)
 	defer t.Stop()
+	time.AfterFunc(metWithin, func() {
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		f.setMet()
+	})
 	for {
 		f.round(ctx)
 		select {
 		case <-ctx.Done():
 			return
 		case <-t.C:
+		case <-f.wake:
 		}
 	}
 }
@@ -139,7 +148,7 @@
 	reply, err := f.transport.Exchange(call, p.address, s)
 	cancel()
 	f.mu.Lock()
-	p.busy = false
+	p.busy, p.met = false, true
 	drop := false
 	if err != nil {
 		if p.failures++; p.failures == 1 {
@@ -158,4 +167,7 @@
 	if err == nil {
 		f.heard(reply)
 	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.checkMet()
 }
--- a/internal/app/fleet/status.go
+++ b/internal/app/fleet/status.go
@@ -93,7 +93,7 @@
 		p.former = append(p.former, p.status.Incarnation)
 		p.former = p.former[max(len(p.former)-maxFormer, 0):]
 	}
-	p.member, p.status, p.heard = s.Member, s, f.now()
+	p.member, p.status, p.heard, p.met = s.Member, s, f.now(), true
 	if before == nil || !sameWork(before, s) {
 		f.totals.replace(before, s)
 		f.outdated.Store(true)
--- a/internal/app/stagework/client.go
+++ b/internal/app/stagework/client.go
@@ -151,6 +151,11 @@
 // next one takes over.
 func (c *Client) Run(ctx context.Context, t *Task) ([]Result, error) {
 	began := c.now()
+	// A daemon that just started would take itself for the coordinator of all groups.
+	select {
+	case <-c.fleet.Met():
+	case <-ctx.Done():
+	}
 	group := c.group(t)
 	var err error
 	var tried []string
