Count the room that others' results take, and free inputs by the measured way

Cause: room for results binds the second stage. Inputs were held for 120 ms after a call's turn, whatever the way. Change: a piece without room shows how much others hold; that much is counted, less and less over 2 s. Inputs are held for 40 ms and four measured round trips, 120 ms before one is measured. The old test of pieces that wait for room keeps its bound, written out.

--- a/internal/app/stagework/call.go
+++ b/internal/app/stagework/call.go
@@ -17,6 +17,10 @@
 	began    time.Time
 	expected time.Duration
 	bytes    int
+	// fetch is the time from the call's turn until it has fetched its inputs.
+	fetch time.Duration
+	// room is the room that was not known to be taken when the call was sent.
+	room     int
 	released bool
 }
 
@@ -27,7 +31,7 @@
 	defer cancel()
 	lead := p.after(c, max(c.expected-leadTime, 0), p.lead)
 	defer lead.Stop()
-	fetched := p.after(c, fetchTime, p.fetched)
+	fetched := p.after(c, c.fetch, p.fetched)
 	defer fetched.Stop()
 	// The time counts from the sending: a call that was sent ahead and waits behind
 	// one that takes too long is as late as that one.
@@ -217,12 +221,31 @@
 	if c.replica.succeed(now, took, p.expected(len(c.items)), worked) {
 		p.c.events.EndpointHealth(p.id, c.replica.entry.ID, false, "")
 	}
+	if left, full := c.roomLeft(outcomes); full {
+		c.replica.full(now, left)
+	}
 	for i, it := range c.items {
 		it.running--
 		p.finish(now, c, it, outcomes[i])
 	}
 }
 
+// roomLeft returns the room that would be left after a call whose results all had
+// room, and whether one had none.
+func (c *call) roomLeft(outcomes []Outcome) (left int, full bool) {
+	left = c.room
+	smallest := 0
+	for i, o := range outcomes {
+		switch b := c.items[i].Bytes; {
+		case o.Reason == Done:
+			left -= b
+		case o.Reason == NoRoom && (!full || b < smallest):
+			smallest, full = b, true
+		}
+	}
+	return left - smallest, full
+}
+
 func (p *pool) finish(now time.Time, c *call, it *item, o Outcome) {
 	r := Result{Handle: o.Handle, Endpoint: c.replica.entry.ID, DataCenter: c.replica.entry.DataCenter}
 	peer := string(c.replica.entry.ID)
@@ -245,7 +268,6 @@
 	case o.Reason == Expired:
 		p.end(it.task, &core.Error{Kind: core.DeadlineExceeded, Step: "stage", Peer: peer, Ran: core.RanNot, Detail: "the time was over when the stage's turn came"})
 	case o.Reason == NoRoom:
-		c.replica.full(now, it.Bytes)
 		// The piece waits for room until its time is over.
 		p.again(it, true, "no room for the result", &core.Error{Kind: core.Unavailable, Peer: peer, Detail: "no room for results"})
 	default:
@@ -308,6 +330,7 @@
 		p.mu.Unlock()
 		ctx, cancel := context.WithTimeout(p.c.ctx, freeTimeout)
 		defer cancel()
+		began := p.c.now()
 		if err := p.c.endpoints.FreeResults(ctx, x.entry.Endpoint, handles); err != nil {
 			// The endpoint drops the results by itself at the end of their life.
 			p.c.events.CallEnded(p.id, x.entry.ID, 0, 0, 0, err)
@@ -315,6 +338,7 @@
 		}
 		p.mu.Lock()
 		defer p.mu.Unlock()
+		x.observeTrip(p.c.now().Sub(began))
 		for _, h := range handles {
 			delete(x.results, h)
 		}
--- a/internal/app/stagework/coordinator.go
+++ b/internal/app/stagework/coordinator.go
@@ -23,8 +23,6 @@
 	// roomShare is the part of an endpoint's room for results that is used: sizes
 	// are known approximately.
 	roomShare = 0.92
-	// fullShare divides the room of an endpoint that had none of late.
-	fullShare = 8
 	// rateWindow is the time over which the rate of finished pieces is measured.
 	rateWindow = 1500 * time.Millisecond
 	// hedgeFactor times the expected time plus hedgeSlack is when the pieces of a
@@ -37,9 +35,13 @@
 	// to an endpoint that can keep one waiting. It hides the way between data
 	// centres.
 	leadTime = 12 * time.Millisecond
-	// fetchTime is how long after its sending a call to an idle endpoint has
-	// fetched its inputs: the way there and some MB over the endpoints' links.
-	fetchTime = 120 * time.Millisecond
+	// A call to an idle endpoint has fetched its inputs fetchBase, some MB over the
+	// endpoints' links, and fetchTrips round trips after its sending: connections there
+	// and from there, and a reserve. Before a round trip was measured it is
+	// fetchUnmeasured.
+	fetchBase       = 40 * time.Millisecond
+	fetchTrips      = 4
+	fetchUnmeasured = 120 * time.Millisecond
 	// A queue of pruneCalls full calls for each endpoint is checked each
 	// pruneInterval for pieces that cannot be in time.
 	pruneCalls    = 1
@@ -47,8 +49,6 @@
 	// hopeless is the part of the estimated wait beyond which a piece is given up:
 	// rates vary within the time that they are averaged over.
 	hopeless = 0.6
-	// fullPause is how long an endpoint without room for a result gets no large one.
-	fullPause = 150 * time.Millisecond
 	// scarceWait is the wait in a group from which on its results are freed as soon
 	// as they are fetched. Freed inputs cannot be used again if a call fails, so
 	// they are kept while room is not scarce.
--- a/internal/app/stagework/coordinator_test.go
+++ b/internal/app/stagework/coordinator_test.go
@@ -182,7 +182,7 @@
 		if _, err := c.Submit(w.t.Context(), 0, newTask("r", 4, 0, 3*time.Second, 5*time.Second)); err != nil {
 			t.Errorf("a task that room came for: %v", err)
 		}
-		if n, most := len(m.calls), int(time.Second/fullPause)+3; n > most {
+		if n, most := len(m.calls), int(time.Second/(150*time.Millisecond))+3; n > most {
 			t.Errorf("%d calls, at most %d in a second without room", n, most)
 		}
 	})
--- a/internal/app/stagework/replica.go
+++ b/internal/app/stagework/replica.go
@@ -21,6 +21,12 @@
 	// baseEjection and maxEjection bound how long a failing endpoint gets no calls.
 	baseEjection = 400 * time.Millisecond
 	maxEjection  = 4 * time.Second
+	// tripWindow is about the number of calls over which the round trip is averaged.
+	tripWindow = 4
+	// foreignTime is how long results that this coordinator does not know of are
+	// counted: a lost coordinator's stay for a part of their life of seconds, those
+	// of one that lives are freed within about two calls.
+	foreignTime = 2 * time.Second
 )
 
 type held struct {
@@ -43,13 +49,15 @@
 	reserved int
 	// lastEnd is the end of the last call; a call that was sent ahead begins then.
 	lastEnd time.Time
-	// fullUntil is set when the endpoint had no room where some was expected, and
-	// refused is the size in bytes of the smallest result that it had none for.
-	fullUntil time.Time
-	refused   int
+	// foreign is the room in bytes that was taken at foreignAt by results which this
+	// coordinator does not know of, such as those of a coordinator that was lost.
+	foreign   int
+	foreignAt time.Time
 	// freed collects handles to release with the next call of FreeResults.
 	freed   []string
 	freeing bool
+	// trip is the time of a round trip, as calls that free results show it.
+	trip time.Duration
 }
 
 func newReplica(e endpoints.Entry) *replica {
@@ -89,12 +97,18 @@
 	return back
 }
 
-// full notes that the endpoint had no room for a result.
-func (r *replica) full(now time.Time, bytes int) {
-	if !now.Before(r.fullUntil) || bytes < r.refused {
-		r.refused = bytes
+// full notes that the endpoint had no room for a result although bytes more were not
+// known to be taken: others' results take them.
+func (r *replica) full(now time.Time, bytes int) { r.foreign, r.foreignAt = max(bytes, 1), now }
+
+// foreignLeft returns the room that others' results still take: they are freed, or end
+// with their life, at any time within foreignTime.
+func (r *replica) foreignLeft(now time.Time) int {
+	left := foreignTime - now.Sub(r.foreignAt)
+	if r.foreign == 0 || left <= 0 {
+		return 0
 	}
-	r.fullUntil = now.Add(fullPause)
+	return int(float64(r.foreign) * float64(left) / float64(foreignTime))
 }
 
 func (r *replica) fail(now time.Time) (out bool) {
@@ -108,6 +122,11 @@
 
 // room returns the bytes of results that still fit.
 func (r *replica) room(now time.Time, total int) int {
+	return total - r.known(now) - r.foreignLeft(now)
+}
+
+// known returns the room that this coordinator's results take.
+func (r *replica) known(now time.Time) int {
 	used := r.reserved
 	for h, x := range r.results {
 		if now.After(x.until) {
@@ -116,5 +135,23 @@
 		}
 		used += x.bytes
 	}
-	return total - used
+	return used
+}
+
+// observeTrip takes in the time of a call that freed results.
+func (r *replica) observeTrip(d time.Duration) {
+	if r.trip == 0 {
+		r.trip = d
+		return
+	}
+	r.trip += (d - r.trip) / tripWindow
+}
+
+// fetchTime returns how long after its sending a call has fetched its inputs if the
+// endpoint was idle.
+func (r *replica) fetchTime() time.Duration {
+	if r.trip == 0 {
+		return fetchUnmeasured
+	}
+	return fetchBase + fetchTrips*r.trip
 }
