Send refused callers back the later, the longer the overload has lasted

Change: the time to come back is at least as long as the route has been refusing so far, within the 5 s that were its bound. A second without a refusal ends an overload.

--- a/internal/app/forward/forward.go
+++ b/internal/app/forward/forward.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"math/rand/v2"
 	"net/http"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -21,6 +22,8 @@
 	// actual time is drawn at random so that they do not return together.
 	minRetryAfter = 200 * time.Millisecond
 	maxRetryAfter = 5 * time.Second
+	// overloadPause without a refusal ends an overload of a route.
+	overloadPause = time.Second
 )
 
 // Forwarder serves requests.
@@ -37,6 +40,7 @@
 	tracker   *tracker
 	suspects  *suspects
 	paces     *paces
+	overloads *overloads
 	active    atomic.Int64
 }
 
@@ -58,7 +62,7 @@
 // New returns a forwarder.
 func New(o Options) *Forwarder {
 	return &Forwarder{catalog: o.Catalog, view: o.View, fleet: o.Fleet, endpoints: o.Endpoints, stages: o.Stages, rest: o.RestUntil, budget: o.Budget,
-		events: o.Events, now: o.Now, tracker: newTracker(o.Now, o.Events), suspects: newSuspects(o.Now), paces: newPaces()}
+		events: o.Events, now: o.Now, tracker: newTracker(o.Now, o.Events), suspects: newSuspects(o.Now), paces: newPaces(), overloads: newOverloads()}
 }
 
 // SetEndpoints tells of a new view of the endpoints.
@@ -258,6 +262,11 @@
 		if e.Kind == core.DeadlineExceeded || e.Kind == core.Conflict || e.Kind == core.Upstream {
 			e.Kind = core.Unavailable
 		}
+		if e.Kind == core.Unavailable && (e.Step == "admission" || e.Step == "stage") {
+			// The longer routes have been overloaded, the longer they will be: who comes
+			// back when today's queue is done would meet the next one.
+			e.RetryAfter = max(e.RetryAfter, f.overloads.refused(x.route.Name, f.now()))
+		}
 		e.RetryAfter = retryAfter(e.RetryAfter)
 		return &e
 	}
@@ -270,6 +279,34 @@
 	return &e
 }
 
+// overloads notes since when routes have been refusing requests.
+type overloads struct {
+	mu     sync.Mutex
+	routes map[string]*overload
+}
+
+type overload struct{ since, last time.Time }
+
+func newOverloads() *overloads { return &overloads{routes: map[string]*overload{}} }
+
+// refused notes a refusal and returns how long the overload of the route has lasted.
+func (o *overloads) refused(route string, now time.Time) time.Duration {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	x := o.routes[route]
+	if x == nil {
+		if len(o.routes) >= maxPaces {
+			return 0
+		}
+		x = &overload{since: now}
+		o.routes[route] = x
+	} else if now.Sub(x.last) > overloadPause {
+		x.since = now
+	}
+	x.last = now
+	return now.Sub(x.since)
+}
+
 // retryAfter spreads the times at which refused callers return over about twice
 // d, within bounds.
 func retryAfter(d time.Duration) time.Duration {
--- a/internal/app/forward/forward_test.go
+++ b/internal/app/forward/forward_test.go
@@ -9,6 +9,36 @@
 	"eelgrassgrade/internal/core"
 )
 
+// Pattern: a burst of many seconds. Guards against refused callers that come back while
+// it lasts and are refused again, and against long times to come back after it.
+func TestTheLongerAnOverloadTheLaterCallersReturn(t *testing.T) {
+	start(t, 1, func(w *world) {
+		w.script = func(core.Endpoint, *Outgoing, int) act { return act{body: "id: 1\ndata: a\n\n"} }
+		w.wait = 900 * time.Millisecond
+		ask := func() time.Duration {
+			got := w.ask(context.Background(), "staged", func(r *Request) { r.Pieces = []int{1, 1} })
+			if got.err == nil {
+				t.Fatal("a request was let in")
+			}
+			return got.err.RetryAfter
+		}
+		if first := ask(); first > 1500*time.Millisecond {
+			t.Errorf("the first refusal says to come back after %v", first)
+		}
+		for range 40 {
+			time.Sleep(100 * time.Millisecond)
+			ask()
+		}
+		if late := ask(); late < 2500*time.Millisecond || late > maxRetryAfter*3/2 {
+			t.Errorf("after 4 s of overload a refusal says to come back after %v", late)
+		}
+		time.Sleep(2 * time.Second)
+		if again := ask(); again > 1500*time.Millisecond {
+			t.Errorf("the first refusal of another overload says to come back after %v", again)
+		}
+	})
+}
+
 // Guards against work that may not be repeated being sent to a second endpoint
 // after the first may have run it, and against "not run" being said of it.
 func TestWorkThatMayHaveRunIsNotSentAgain(t *testing.T) {
