Print why requests were late, refused or failed, from daemons' logs

Cause: what binds was found with prints in scratch copies; operators have only the logs, which did not tell a late first event from a pause, nor events that were held up on the way. Change: eelgrassctl losses counts the ends of requests by route and time with their causes. The end of a request tells late_first, late_pause and heaps, the times that three or more events came at once after a pause of 100 ms; eelgrass_event_heaps_total counts them.

--- a/internal/adapter/telemetry/hosted.go
+++ b/internal/adapter/telemetry/hosted.go
@@ -127,7 +127,12 @@
 	if o.StageTime > 0 {
 		h.set.GetOrCreateHistogram(fmt.Sprintf(`eelgrass_stage_time_seconds{rank="%d"}`, o.Rank)).Update(o.StageTime.Seconds())
 	}
-	late := o.Route != nil && (o.Route.Target > 0 && o.FirstByte > o.Route.Target || o.Route.GapTarget > 0 && o.LongestGap > o.Route.GapTarget)
+	for range o.Heaps {
+		h.set.GetOrCreateCounter(fmt.Sprintf(`eelgrass_event_heaps_total{pool=%q}`, o.Pool)).Inc()
+	}
+	lateFirst := o.Route != nil && o.Route.Target > 0 && o.FirstByte > o.Route.Target
+	latePause := o.Route != nil && o.Route.GapTarget > 0 && o.LongestGap > o.Route.GapTarget
+	late := lateFirst || latePause
 	if !h.sampled(o.Request.ID) && o.Err == nil && !late {
 		return
 	}
@@ -138,7 +143,7 @@
 	ev = ev.Str("request", string(o.Request.ID)).Str("route", route).Str("pool", string(o.Pool)).Str("account", string(o.Account)).Int("rank", o.Rank).
 		Str("outcome", outcome).Int("status", o.Status).Str("endpoint", string(o.Endpoint)).Int("attempts", o.Attempts).
 		Int64("stages_ms", o.StageTime.Milliseconds()).Int64("first_byte_ms", o.FirstByte.Milliseconds()).Int64("longest_gap_ms", o.LongestGap.Milliseconds()).Int64("total_ms", o.Total.Milliseconds()).
-		Bool("late", late).Int("prompt_tokens", o.Request.PromptTokens).Ints("pieces", o.Request.Pieces).Int64("config", o.ConfigVersion)
+		Bool("late", late).Bool("late_first", lateFirst).Bool("late_pause", latePause).Int("heaps", o.Heaps).Int("prompt_tokens", o.Request.PromptTokens).Ints("pieces", o.Request.Pieces).Int64("config", o.ConfigVersion)
 	if o.Err != nil {
 		ev = ev.Str("step", e.Step).Str("peer", e.Peer).Stringer("ran", e.Ran).Int64("retry_after_ms", e.RetryAfter.Milliseconds()).
 			Str("detail", e.Detail).AnErr("cause", e.Err)
--- a/internal/app/forward/ports.go
+++ b/internal/app/forward/ports.go
@@ -129,6 +129,9 @@
 	// LongestGap is the longest pause between two events as they came from the
 	// endpoint.
 	LongestGap time.Duration
+	// Heaps is how often several events arrived at once after a pause: they were held
+	// up between the endpoint and this daemon, by a lost packet or a slow link.
+	Heaps int
 	// CallerLeft says that the caller had closed its connection before the end.
 	CallerLeft bool
 	// Cut says that the answer was broken off.
--- a/internal/app/forward/stream.go
+++ b/internal/app/forward/stream.go
@@ -21,6 +21,10 @@
 	// busy. What an endpoint sent meanwhile is read within pauseGrace.
 	lateTimer  = 200 * time.Millisecond
 	pauseGrace = 300 * time.Millisecond
+	// heapEvents events that arrive at once after a pause of heapPause were held up on
+	// the way: an engine makes them one by one. A lost packet is sent again after 200 ms.
+	heapEvents = 3
+	heapPause  = 100 * time.Millisecond
 	// maxPartial bounds the part of an event that is kept until its rest comes.
 	maxPartial = 1 << 20
 )
@@ -67,6 +71,9 @@
 			s.first()
 		} else if seen {
 			s.x.out.LongestGap = max(s.x.out.LongestGap, now.Sub(at))
+			if now.Sub(at) >= heapPause && bytes.Count(c.data, []byte("\nid:")) >= heapEvents-1 {
+				s.x.out.Heaps++
+			}
 		}
 		at = now
 		data := c.data
--- a/internal/ctl/ctl.go
+++ b/internal/ctl/ctl.go
@@ -66,6 +66,7 @@
 		{"leave", "INSTANCE", "announce that an instance leaves", setupLeave},
 		{"status", "", "list the daemons", setupStatus},
 		{"explain", "ID [FILE...]", "print what daemons' logs say of a request, with what happened beside it", setupExplain},
+		{"losses", "[FILE...]", "print by route and time why requests were late, refused or failed, from daemons' logs", setupLosses},
 		{"load", "SCENARIO", "send load by a scenario file and report what was measured", setupLoad},
 	}
 }
@@ -112,7 +113,7 @@
 		fmt.Fprintf(errOut, "usage: eelgrassctl %s %s [FLAGS]: %s\n", c.name, c.args, c.help)
 		fs.PrintDefaults()
 	}
-	if c.name != "check" && c.name != "load" && c.name != "explain" {
+	if c.name != "check" && c.name != "load" && c.name != "explain" && c.name != "losses" {
 		connectionFlags(fs, &t.conn)
 	}
 	runIt := c.setup(t, fs)
--- a/internal/ctl/explain.go
+++ b/internal/ctl/explain.go
@@ -38,48 +38,52 @@
 		if len(args) < 1 {
 			return usageError("explain takes a request's id and files of logs, or reads standard input")
 		}
-		id, files := args[0], args[1:]
+		id := args[0]
 		var lines []logLine
-		if len(files) == 0 {
-			var err error
-			if lines, err = readLog(os.Stdin, id); err != nil {
-				return err
+		err := eachLine(args[1:], func(at time.Time, text string) {
+			// A line that names the request, or a change of what a daemon believed.
+			own := field(text, "request") == id || strings.Contains(text, `"`+id+`"`)
+			if own || slices.Contains(beliefs, field(text, "event")) {
+				lines = append(lines, logLine{at, text, own})
 			}
-		}
-		for _, name := range files {
-			f, err := os.Open(name)
-			if err != nil {
-				return err
-			}
-			more, err := readLog(f, id)
-			f.Close()
-			if err != nil {
-				return err
-			}
-			lines = append(lines, more...)
+		})
+		if err != nil {
+			return err
 		}
 		return t.explain(id, lines, *around)
 	}
 }
 
-// readLog returns the lines that name the request or change what a daemon
-// believed.
-func readLog(r io.Reader, id string) ([]logLine, error) {
+// eachLine calls f with each line of the files, or of standard input if there are
+// none, that has a time.
+func eachLine(files []string, f func(at time.Time, text string)) error {
+	if len(files) == 0 {
+		return scanLog(os.Stdin, f)
+	}
+	for _, name := range files {
+		file, err := os.Open(name)
+		if err != nil {
+			return err
+		}
+		err = scanLog(file, f)
+		file.Close()
+		if err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func scanLog(r io.Reader, f func(at time.Time, text string)) error {
 	s := bufio.NewScanner(r)
 	s.Buffer(make([]byte, 64<<10), maxLogLine)
-	var out []logLine
 	for s.Scan() {
 		text := s.Text()
-		at, err := time.Parse(time.RFC3339Nano, field(text, "time"))
-		if err != nil {
-			continue
-		}
-		own := field(text, "request") == id || strings.Contains(text, `"`+id+`"`)
-		if own || slices.Contains(beliefs, field(text, "event")) {
-			out = append(out, logLine{at, text, own})
+		if at, err := time.Parse(time.RFC3339Nano, field(text, "time")); err == nil {
+			f(at, text)
 		}
 	}
-	return out, s.Err()
+	return s.Err()
 }
 
 // field returns the value of a key of a line, without quotes.
