--- a/internal/adapter/fleetrpc/fleetrpc.go
+++ b/internal/adapter/fleetrpc/fleetrpc.go
@@ -102,6 +102,16 @@
 	return statusFromPB(c.now(), r), nil
 }
 
+// Announce implements fleet.Transport.
+func (c *Client) Announce(ctx context.Context, address string, r fleet.Reading) error {
+	p, err := c.peer(address)
+	if err != nil {
+		return err
+	}
+	_, err = p.Announce(ctx, &fleetpb.Reading{From: r.From, Endpoint: string(r.Endpoint), Tokens: int64(r.Tokens), LeftMs: uint32(max(r.Left.Milliseconds(), 0))})
+	return err
+}
+
 // Pull returns rows of the daemon's copy of a table.
 func (c *Client) Pull(ctx context.Context, address, table string, after int64) (mirror.Batch, error) {
 	p, err := c.peer(address)
@@ -186,6 +196,13 @@
 	return statusToPB(s.now(), s.fleet.Receive(statusFromPB(s.now(), m))), nil
 }
 
+// Announce implements fleetpb.FleetServer.
+func (s *Server) Announce(_ context.Context, r *fleetpb.Reading) (*fleetpb.AnnounceReply, error) {
+	s.fleet.Announced(fleet.Reading{From: r.GetFrom(), Endpoint: core.InstanceID(r.GetEndpoint()), Tokens: int(r.GetTokens()),
+		Left: time.Duration(r.GetLeftMs()) * time.Millisecond})
+	return &fleetpb.AnnounceReply{}, nil
+}
+
 // Pull implements fleetpb.FleetServer.
 func (s *Server) Pull(_ context.Context, r *fleetpb.PullRequest) (*fleetpb.PullReply, error) {
 	t := s.tables[r.GetTable()]
--- a/internal/adapter/fleetrpc/fleetrpc_test.go
+++ b/internal/adapter/fleetrpc/fleetrpc_test.go
@@ -46,6 +46,7 @@
 
 type daemon struct {
 	address string
+	fleet   *fleet.Fleet
 	table   *mirror.Table
 	coord   *stagework.Coordinator
 	seen    chan *fleet.Status
@@ -61,6 +62,7 @@
 	d.coord = stagework.NewCoordinator(t.Context(), noEvents{}, noRest, noEvents{}, noEvents{}, time.Now)
 	f := fleet.New(fleet.Options{Self: fleet.Member{ID: "d", Address: d.address}, Events: noEvents{}, Now: time.Now,
 		Source: func() *fleet.Status { return &fleet.Status{Tables: map[string]int64{"t": 7}} }, OnStatus: func(s *fleet.Status) { d.seen <- s }})
+	d.fleet = f
 	s := NewServer(f, []*mirror.Table{d.table}, d.coord, time.Now, d.stop.Load)
 	go func() {
 		if err := s.Serve(l); err != nil {
@@ -92,6 +94,21 @@
 	}
 }
 
+// Guards against an announced prompt that arrives changed.
+func TestAnAnnouncementArrives(t *testing.T) {
+	d, c := serve(t), NewClient(time.Now)
+	if _, err := c.Exchange(t.Context(), d.address, &fleet.Status{Member: fleet.Member{ID: "me", Address: "a:1"}, Incarnation: 5}); err != nil {
+		t.Fatal(err)
+	}
+	if err := c.Announce(t.Context(), d.address, fleet.Reading{From: "a:1", Endpoint: "e", Tokens: 30_000, Left: time.Minute}); err != nil {
+		t.Fatal(err)
+	}
+	time.Sleep(100 * time.Millisecond)
+	if l := d.fleet.View().Loads["e"]; l.PrefillTokens != 30_000 || l.Running != 1 {
+		t.Errorf("the receiver counts %+v", l)
+	}
+}
+
 // Guards against copies of tables that miss rows or deletions on the way.
 func TestPull(t *testing.T) {
 	d, c := serve(t), NewClient(time.Now)
--- a/internal/app/fleet/fleet.go
+++ b/internal/app/fleet/fleet.go
@@ -9,6 +9,8 @@
 	"sync/atomic"
 	"time"
 
+	"golang.org/x/time/rate"
+
 	"eelgrassgrade/internal/core"
 )
 
@@ -130,6 +132,8 @@
 	Exchange(ctx context.Context, address string, s *Status) (*Status, error)
 	// Drop closes the connection to the address; the next call opens another.
 	Drop(address string)
+	// Announce tells the daemon at the address of a long prompt.
+	Announce(ctx context.Context, address string, r Reading) error
 }
 
 // Source gives this daemon's status, but for Member, Incarnation and Known, and
@@ -162,6 +166,8 @@
 	// watches counts those that wait for work at the peer, since watchedAt.
 	watches   int
 	watchedAt time.Time
+	// readings are prompts that the peer announced since its last status.
+	readings []reading
 	// former holds the incarnations before the one of status, the latest last.
 	former []int64
 }
@@ -175,6 +181,7 @@
 	events    Events
 	onStatus  func(*Status)
 	now       func() time.Time
+	announces *rate.Limiter
 
 	view atomic.Pointer[View]
 	// outdated says that the totals have changed since the view was built.
@@ -218,7 +225,7 @@
 // New returns a fleet that knows only itself.
 func New(o Options) *Fleet {
 	f := &Fleet{self: o.Self, born: o.Now(), transport: o.Transport, source: o.Source, events: o.Events,
-		onStatus: o.OnStatus, now: o.Now, met: make(chan struct{}), wake: make(chan struct{}, 1), peers: map[string]*peer{}, totals: newTotals(), newest: map[string]Holder{}}
+		onStatus: o.OnStatus, now: o.Now, announces: rate.NewLimiter(announcesPerS, announceBurst), met: make(chan struct{}), wake: make(chan struct{}, 1), peers: map[string]*peer{}, totals: newTotals(), newest: map[string]Holder{}}
 	f.view.Store(&View{Alive: []Member{o.Self}})
 	return f
 }
@@ -226,8 +233,9 @@
 // View returns the current view. Its sums are at most viewAge behind what was
 // told, its daemons and newest versions are not behind.
 func (f *Fleet) View() *View {
-	v := f.view.Load()
-	if !f.outdated.Load() || f.now().Sub(v.built) < viewAge || !f.mu.TryLock() {
+	v, now := f.view.Load(), f.now()
+	outdated := f.outdated.Load() || !v.stale.IsZero() && now.After(v.stale)
+	if !outdated || now.Sub(v.built) < viewAge || !f.mu.TryLock() {
 		return v
 	}
 	defer f.mu.Unlock()
--- a/internal/app/fleet/fleet_test.go
+++ b/internal/app/fleet/fleet_test.go
@@ -23,6 +23,9 @@
 	mute      map[string]bool
 	drops     atomic.Int32
 	exchanges atomic.Int32
+	announced atomic.Int32
+	// loads is what the first fleet tells.
+	loads atomic.Pointer[EndpointLoad]
 }
 
 func (n *network) Exchange(ctx context.Context, address string, s *Status) (*Status, error) {
@@ -42,6 +45,16 @@
 	return r, nil
 }
 
+func (n *network) Announce(_ context.Context, address string, r Reading) error {
+	time.Sleep(5 * time.Millisecond)
+	n.announced.Add(1)
+	n.mu.Lock()
+	f := n.fleets[address]
+	n.mu.Unlock()
+	f.Announced(r)
+	return nil
+}
+
 func (n *network) Drop(string) {
 	n.drops.Add(1)
 }
@@ -75,7 +88,13 @@
 		var list []*Fleet
 		for i := range n {
 			x := New(Options{Self: member(i), Transport: net, Events: noEvents{}, OnStatus: func(*Status) {}, Now: time.Now,
-				Source: func() *Status { return &Status{Tables: map[string]int64{"t": int64(i)}} }})
+				Source: func() *Status {
+					s := &Status{Tables: map[string]int64{"t": int64(i)}}
+					if l := net.loads.Load(); i == 0 && l != nil {
+						s.Loads = []EndpointLoad{*l}
+					}
+					return s
+				}})
 			x.Add([]Member{{Address: "a0"}}, false)
 			net.mu.Lock()
 			net.fleets[member(i).Address] = x
--- a/internal/app/fleet/schedule.go
+++ b/internal/app/fleet/schedule.go
@@ -148,7 +148,7 @@
 	reply, err := f.transport.Exchange(call, p.address, s)
 	cancel()
 	f.mu.Lock()
-	p.busy, p.met = false, true
+	p.busy = false
 	drop := false
 	if err != nil {
 		if p.failures++; p.failures == 1 {
@@ -169,5 +169,6 @@
 	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	p.met = true
 	f.checkMet()
 }
--- a/internal/app/fleet/status.go
+++ b/internal/app/fleet/status.go
@@ -94,6 +94,7 @@
 		p.former = p.former[max(len(p.former)-maxFormer, 0):]
 	}
 	p.member, p.status, p.heard, p.met = s.Member, s, f.now(), true
+	f.dropReadings(p)
 	if before == nil || !sameWork(before, s) {
 		f.totals.replace(before, s)
 		f.outdated.Store(true)
@@ -126,7 +127,7 @@
 	if !p.alive {
 		return
 	}
-	p.alive = false
+	p.alive, p.readings = false, nil
 	f.totals.replace(p.status, nil)
 	f.findNewest()
 	f.events.PeerLost(p.member, f.now().Sub(p.heard))
@@ -171,6 +172,7 @@
 	f.outdated.Store(false)
 	v := &View{Newest: maps.Clone(f.newest), built: f.now()}
 	f.totals.fill(v)
+	f.addReadings(v, v.built)
 	if !f.leaving.Load() {
 		v.Alive = append(v.Alive, f.self)
 	}
--- a/internal/app/fleet/view.go
+++ b/internal/app/fleet/view.go
@@ -25,6 +25,8 @@
 
 	ranks *ranks
 	built time.Time
+	// stale is when the first announced prompt in Loads was read; zero if there is none.
+	stale time.Time
 }
 
 // ranks keeps the rankings of one set of live daemons: each request asks for
--- a/internal/app/forward/attempt.go
+++ b/internal/app/forward/attempt.go
@@ -7,6 +7,7 @@
 	"strconv"
 	"time"
 
+	"eelgrassgrade/internal/app/fleet"
 	"eelgrassgrade/internal/core"
 	"eelgrassgrade/internal/decide/catalog"
 	"eelgrassgrade/internal/decide/health"
@@ -176,6 +177,9 @@
 	began, e := f.now(), c.Endpoint
 	first, end := f.tracker.begin(e.ID, c.Unread)
 	defer end()
+	if c.Unread >= placement.LongPrompt {
+		f.announce(fleet.Reading{Endpoint: e.ID, Tokens: c.Unread, Left: placement.ReadingTime(c.Unread + c.PrefillTokens)})
+	}
 	out := &Outgoing{Request: x.req, Account: x.account, Priority: x.rank, Remaining: x.deadline.Sub(began), After: s.last}
 	if x.inputs != nil {
 		out.Inputs = x.inputs.handle
--- a/internal/app/forward/forward.go
+++ b/internal/app/forward/forward.go
@@ -37,6 +37,7 @@
 	budget    Budget
 	events    Events
 	now       func() time.Time
+	announce  func(fleet.Reading)
 	tracker   *tracker
 	suspects  *suspects
 	paces     *paces
@@ -57,11 +58,16 @@
 	Budget    Budget
 	Events    Events
 	Now       func() time.Time
+	// Announce tells the other daemons of a long prompt at once; nil tells nobody.
+	Announce func(fleet.Reading)
 }
 
 // New returns a forwarder.
 func New(o Options) *Forwarder {
-	return &Forwarder{catalog: o.Catalog, view: o.View, fleet: o.Fleet, endpoints: o.Endpoints, stages: o.Stages, rest: o.RestUntil, budget: o.Budget,
+	if o.Announce == nil {
+		o.Announce = func(fleet.Reading) {}
+	}
+	return &Forwarder{announce: o.Announce, catalog: o.Catalog, view: o.View, fleet: o.Fleet, endpoints: o.Endpoints, stages: o.Stages, rest: o.RestUntil, budget: o.Budget,
 		events: o.Events, now: o.Now, tracker: newTracker(o.Now, o.Events), suspects: newSuspects(o.Now), paces: newPaces(), overloads: newOverloads()}
 }
 
--- a/internal/app/forward/forward_test.go
+++ b/internal/app/forward/forward_test.go
@@ -6,7 +6,9 @@
 	"testing"
 	"time"
 
+	"eelgrassgrade/internal/app/fleet"
 	"eelgrassgrade/internal/core"
+	"eelgrassgrade/internal/decide/placement"
 )
 
 // Pattern: a burst of many seconds. Guards against refused callers that come back while
@@ -270,6 +272,25 @@
 	})
 }
 
+// Guards against other daemons that hear of a long prompt only with an exchange, and
+// against an announcement for each request.
+func TestLongPromptsAreAnnounced(t *testing.T) {
+	start(t, 2, func(w *world) {
+		w.script = func(core.Endpoint, *Outgoing, int) act { return act{body: "id: 1\ndata: a\n\n"} }
+		var told []fleet.Reading
+		w.f.announce = func(r fleet.Reading) { told = append(told, r) }
+		w.snap.Match("h", "/stream/1").PromptAffinity = true
+		for _, tokens := range []int{500, 20_000} {
+			w.ask(context.Background(), "stream", func(r *Request) {
+				r.Prompt, r.PromptTokens = []placement.Part{{ID: "shared", Tokens: 10}, {ID: "own", Tokens: tokens}}, tokens
+			})
+		}
+		if len(told) != 1 || told[0].Tokens != 20_000 || told[0].Left <= 0 || told[0].Endpoint == "" {
+			t.Errorf("announced %+v", told)
+		}
+	})
+}
+
 // Guards against small results that wait for an endpoint in the data centre of the
 // engine: moving them costs nothing, and the wait is lost to the stages that follow.
 func TestOnlyLargeResultsHaveAPlace(t *testing.T) {
--- a/internal/app/stagework/client_test.go
+++ b/internal/app/stagework/client_test.go
@@ -18,9 +18,10 @@
 func (alone) Exchange(context.Context, string, *fleet.Status) (*fleet.Status, error) {
 	return nil, context.Canceled
 }
-func (alone) Drop(string)                          {}
-func (alone) PeerAlive(fleet.Member)               {}
-func (alone) PeerLost(fleet.Member, time.Duration) {}
+func (alone) Drop(string)                                           {}
+func (alone) Announce(context.Context, string, fleet.Reading) error { return nil }
+func (alone) PeerAlive(fleet.Member)                                {}
+func (alone) PeerLost(fleet.Member, time.Duration)                  {}
 
 // runClient starts a client that coordinates all groups itself.
 func runClient(t *testing.T, machines int, f func(*world, *Client)) {
--- a/internal/decide/placement/placement.go
+++ b/internal/decide/placement/placement.go
@@ -49,6 +49,10 @@
 	// least: it waits at its home as long as it is in time there.
 	againFactor  = 4
 	minAgainCost = 120 * time.Millisecond
+	// Each running stream pauses while the engine reads prompts one after the other. One
+	// that comes behind another long one costs pauseShare of the reading time for each
+	// request that runs there.
+	pauseShare = 0.4
 	// runningCost is the assumed delay that each running request adds to the
 	// first event of another one.
 	runningCost = time.Millisecond
@@ -59,6 +63,15 @@
 	homes = 2
 )
 
+// LongPrompt is the number of unread prompt tokens from which on a prompt delays the
+// requests beside it noticeably: about 100 ms of reading.
+const LongPrompt = 6000
+
+// ReadingTime returns how long an engine takes at most to read prompt tokens.
+func ReadingTime(tokens int) time.Duration {
+	return time.Duration(tokens) * time.Millisecond / prefillPerMs
+}
+
 // homeKey returns the shared prompt part by which the request's home is found:
 // the last but one, since the last part belongs to the request or its session.
 func homeKey(parts []Part) (string, bool) {
@@ -122,6 +135,9 @@
 		c.cost = time.Duration(ms*max(c.c.Slow, 1)*float64(time.Millisecond)) +
 			time.Duration(c.c.Running)*runningCost + c.c.Cost +
 			min(time.Duration(again)*againFactor*time.Millisecond/prefillPerMs, max(spare, minAgainCost))
+		if unread >= LongPrompt && c.c.PrefillTokens >= LongPrompt {
+			c.cost += time.Duration(pauseShare * ms * float64(c.c.Running) * float64(time.Millisecond))
+		}
 		if c.c.Slots > 0 && c.c.Running >= c.c.Slots {
 			c.cost += fullCost
 		}
--- a/internal/decide/placement/placement_test.go
+++ b/internal/decide/placement/placement_test.go
@@ -87,6 +87,28 @@
 	}
 }
 
+// Pattern: heavy-tailed prompts, two long ones with the same shared part one after the
+// other. Guards against an engine that reads both in a row while all requests beside them
+// pause, and against a single one that is sent away from its home.
+func TestLongPromptsDoNotPileUp(t *testing.T) {
+	p := []Part{{"shared", 5000}, {"own", 20_000}}
+	home := Order(p, time.Second, candidates(6))[0].Endpoint.ID
+	for _, c := range []struct {
+		running, prefill int
+		stays            bool
+	}{{0, 0, true}, {6, 0, true}, {6, 12_000, false}, {0, 12_000, true}} {
+		list := candidates(6)
+		for i := range list {
+			if list[i].Endpoint.ID == home {
+				list[i].Running, list[i].PrefillTokens = c.running, c.prefill
+			}
+		}
+		if stays := Order(p, time.Second, list)[0].Endpoint.ID == home; stays != c.stays {
+			t.Errorf("%d requests run at the home and %d tokens wait there: stays %t, want %t", c.running, c.prefill, stays, c.stays)
+		}
+	}
+}
+
 // Guards against requests for engines without a free slot, and against slow ones
 // while others are as good.
 func TestFullAndSlowEnginesComeLast(t *testing.T) {
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -138,7 +138,7 @@
 	d.coord = stagework.NewCoordinator(ctx, calls, d.set.RestUntil, d.tel, stageBudgets, time.Now)
 	d.client = stagework.NewClient(d.fleet, self, d.coord, d.rpc, d.tel, time.Now)
 	d.forward = forward.New(forward.Options{Catalog: d.catalog.Load, View: d.set.View, Fleet: d.fleet.View, Endpoints: calls,
-		Stages: d.client, RestUntil: d.set.RestUntil, Budget: d.budgets, Events: d.tel, Now: time.Now})
+		Stages: d.client, RestUntil: d.set.RestUntil, Budget: d.budgets, Events: d.tel, Now: time.Now, Announce: d.fleet.Announce})
 	d.config = mirror.NewTable(platform.OperatorTable, d.configChanged)
 	d.list = mirror.NewTable(platform.EndpointTable, d.listChanged)
 	d.daemons = mirror.NewTable(daemonTable, d.daemonsChanged)
