--- a/internal/app/forward/attempt.go
+++ b/internal/app/forward/attempt.go
@@ -55,13 +55,12 @@
 			poor = append(poor, c)
 		}
 	}
-	parts := x.req.Prompt
-	if !x.route.PromptAffinity {
-		parts = nil
+	prompt := placement.Prompt{Spare: x.target.Sub(now) - f.paces.expect(x.route.Name), Pause: x.route.GapTarget}
+	if x.route.PromptAffinity {
+		prompt.Parts = x.req.Prompt
 	}
-	spare := x.target.Sub(now) - f.paces.expect(x.route.Name)
-	out := placement.Order(parts, spare, good)
-	return append(out, placement.Order(parts, spare, poor)...)
+	out := placement.Order(prompt, good)
+	return append(out, placement.Order(prompt, poor)...)
 }
 
 // resume moves the times of a stream that broke off: it has begun, so that the rest
--- a/internal/decide/placement/placement.go
+++ b/internal/decide/placement/placement.go
@@ -18,6 +18,17 @@
 	Tokens int
 }
 
+// Prompt is what a request has an engine read.
+type Prompt struct {
+	Parts []Part
+	// Spare is the time that the request has until its answer should begin, beyond
+	// what that usually takes.
+	Spare time.Duration
+	// Pause is the longest pause between two events with which an answer is on time.
+	// Requests of other routes beside it are assumed to have about the same.
+	Pause time.Duration
+}
+
 // Candidate is an endpoint with what is known of its load.
 type Candidate struct {
 	Endpoint core.Endpoint
@@ -49,9 +60,9 @@
 	// least: it waits at its home as long as it is in time there.
 	againFactor  = 4
 	minAgainCost = 120 * time.Millisecond
-	// Each running stream pauses while the engine reads prompts one after the other. One
-	// that comes behind another long one costs pauseShare of the reading time for each
-	// request that runs there.
+	// Each running stream pauses while the engine reads prompts one after the other. A
+	// long one right after another, which together make the pause too long, costs
+	// pauseShare of the reading time for each request that runs there.
 	pauseShare = 0.4
 	// runningCost is the assumed delay that each running request adds to the
 	// first event of another one.
@@ -89,18 +100,18 @@
 // found by rendezvous hashing, so that all daemons agree on it without a
 // message; a loaded home yields to the next one and then to any endpoint, the
 // sooner the less time the request has to spare until its answer should begin.
-func Order(parts []Part, spare time.Duration, all []Candidate) []Candidate {
+func Order(p Prompt, all []Candidate) []Candidate {
 	type scored struct {
 		c    Candidate
 		home uint64
 		cost time.Duration
 	}
-	key, ok := homeKey(parts)
+	key, ok := homeKey(p.Parts)
 	shared, total := 0, 0
-	for i, p := range parts {
-		total += p.Tokens
-		if i < len(parts)-1 || len(parts) == 1 {
-			shared += p.Tokens
+	for i, part := range p.Parts {
+		total += part.Tokens
+		if i < len(p.Parts)-1 || len(p.Parts) == 1 {
+			shared += part.Tokens
 		}
 	}
 	list := make([]scored, len(all))
@@ -134,8 +145,8 @@
 		ms := float64(unread+c.c.PrefillTokens) / prefillPerMs
 		c.cost = time.Duration(ms*max(c.c.Slow, 1)*float64(time.Millisecond)) +
 			time.Duration(c.c.Running)*runningCost + c.c.Cost +
-			min(time.Duration(again)*againFactor*time.Millisecond/prefillPerMs, max(spare, minAgainCost))
-		if unread >= LongPrompt && c.c.PrefillTokens >= LongPrompt {
+			min(time.Duration(again)*againFactor*time.Millisecond/prefillPerMs, max(p.Spare, minAgainCost))
+		if unread >= LongPrompt && c.c.PrefillTokens >= LongPrompt && ReadingTime(unread+c.c.PrefillTokens) >= p.Pause {
 			c.cost += time.Duration(pauseShare * ms * float64(c.c.Running) * float64(time.Millisecond))
 		}
 		if c.c.Slots > 0 && c.c.Running >= c.c.Slots {
--- a/internal/decide/placement/placement_test.go
+++ b/internal/decide/placement/placement_test.go
@@ -23,12 +23,12 @@
 func TestASharedPartHasOneHome(t *testing.T) {
 	homes := map[core.InstanceID]int{}
 	for i := range 120 {
-		first := Order(parts(fmt.Sprint("p", i)), 0, candidates(12))[0].Endpoint.ID
+		first := Order(Prompt{Parts: parts(fmt.Sprint("p", i))}, candidates(12))[0].Endpoint.ID
 		reversed := candidates(12)
 		for a, b := 0, len(reversed)-1; a < b; a, b = a+1, b-1 {
 			reversed[a], reversed[b] = reversed[b], reversed[a]
 		}
-		if again := Order(parts(fmt.Sprint("p", i)), 0, reversed)[0].Endpoint.ID; again != first {
+		if again := Order(Prompt{Parts: parts(fmt.Sprint("p", i))}, reversed)[0].Endpoint.ID; again != first {
 			t.Fatalf("part %d has the homes %s and %s", i, first, again)
 		}
 		homes[first]++
@@ -44,7 +44,7 @@
 	list := candidates(4)
 	used := map[core.InstanceID]int{}
 	for range 40 {
-		best := Order(parts("hot"), 0, list)[0]
+		best := Order(Prompt{Parts: parts("hot")}, list)[0]
 		used[best.Endpoint.ID]++
 		for i := range list {
 			if list[i].Endpoint.ID == best.Endpoint.ID {
@@ -68,7 +68,7 @@
 // beside it, and against one that waits there until it is late.
 func TestARequestWithTimeToSpareStaysAtItsHome(t *testing.T) {
 	p := []Part{{"long", 8000}, {"own", 1000}}
-	home := Order(p, 0, candidates(6))[0].Endpoint.ID
+	home := Order(Prompt{Parts: p}, candidates(6))[0].Endpoint.ID
 	for _, c := range []struct {
 		spare time.Duration
 		stays bool
@@ -80,7 +80,7 @@
 				list[i].PrefillTokens = 20_000
 			}
 		}
-		got := Order(p, c.spare, list)[0]
+		got := Order(Prompt{Parts: p, Spare: c.spare}, list)[0]
 		if stays := got.Endpoint.ID == home; stays != c.stays {
 			t.Errorf("%v to spare: the request goes to %s, home %d", c.spare, got.Endpoint.ID, got.Home)
 		}
@@ -92,18 +92,25 @@
 // pause, and against a single one that is sent away from its home.
 func TestLongPromptsDoNotPileUp(t *testing.T) {
 	p := []Part{{"shared", 5000}, {"own", 20_000}}
-	home := Order(p, time.Second, candidates(6))[0].Endpoint.ID
+	home := Order(Prompt{Parts: p, Spare: time.Second}, candidates(6))[0].Endpoint.ID
 	for _, c := range []struct {
 		running, prefill int
+		pause            time.Duration
 		stays            bool
-	}{{0, 0, true}, {6, 0, true}, {6, 12_000, false}, {0, 12_000, true}} {
+	}{
+		{0, 0, 500 * time.Millisecond, true},
+		{6, 0, 500 * time.Millisecond, true},
+		{6, 12_000, 500 * time.Millisecond, false},
+		{0, 12_000, 500 * time.Millisecond, true},
+		{6, 12_000, time.Second, true},
+	} {
 		list := candidates(6)
 		for i := range list {
 			if list[i].Endpoint.ID == home {
 				list[i].Running, list[i].PrefillTokens = c.running, c.prefill
 			}
 		}
-		if stays := Order(p, time.Second, list)[0].Endpoint.ID == home; stays != c.stays {
+		if stays := Order(Prompt{Parts: p, Spare: time.Second, Pause: c.pause}, list)[0].Endpoint.ID == home; stays != c.stays {
 			t.Errorf("%d requests run at the home and %d tokens wait there: stays %t, want %t", c.running, c.prefill, stays, c.stays)
 		}
 	}
@@ -115,12 +122,12 @@
 	list := candidates(3)
 	list[0].Running = 8
 	list[1].Slow = 5
-	got := Order(nil, 0, list)
+	got := Order(Prompt{Parts: nil}, list)
 	if got[2].Endpoint.ID != "e0" {
 		t.Errorf("the full engine is not last: %v", got)
 	}
 	p := []Part{{"only", 4000}}
-	for _, c := range Order(p, 0, list)[:1] {
+	for _, c := range Order(Prompt{Parts: p}, list)[:1] {
 		if c.Endpoint.ID == "e1" {
 			t.Error("the slow engine is first")
 		}
@@ -132,7 +139,7 @@
 func TestCostOfInputsCounts(t *testing.T) {
 	list := candidates(2)
 	list[0].Cost = 80 * time.Millisecond
-	if got := Order(nil, 0, list)[0].Endpoint.ID; got != "e1" {
+	if got := Order(Prompt{Parts: nil}, list)[0].Endpoint.ID; got != "e1" {
 		t.Errorf("chose %s", got)
 	}
 }
