--- a/internal/app/forward/pace.go
+++ b/internal/app/forward/pace.go
@@ -9,8 +9,8 @@
 	// paceWeight is the weight of the newest request in the mean and the
 	// deviation of a route's times.
 	paceWeight = 0.05
-	// maxPaces bounds the routes that are measured.
-	maxPaces = 4096
+	// maxRoutes bounds the routes of which times or overloads are kept.
+	maxRoutes = 4096
 	// restDeviations is the number of mean deviations above the mean within which
 	// the rest of a stream nearly always comes.
 	restDeviations = 2
@@ -39,7 +39,7 @@
 	defer p.mu.Unlock()
 	x := routes[route]
 	if x == nil {
-		if len(routes) < maxPaces {
+		if len(routes) < maxRoutes {
 			routes[route] = &pace{mean: float64(d), deviation: float64(d) / 4}
 		}
 		return
--- a/internal/decide/placement/placement.go
+++ b/internal/decide/placement/placement.go
@@ -96,67 +96,75 @@
 	}
 }
 
+// sizes returns the tokens of the whole prompt and of its shared parts.
+func (p *Prompt) sizes() (total, shared int) {
+	for i, part := range p.Parts {
+		total += part.Tokens
+		if i < len(p.Parts)-1 || len(p.Parts) == 1 {
+			shared += part.Tokens
+		}
+	}
+	return total, shared
+}
+
 // Order returns the candidates, best first. The home of a shared prompt part is
 // found by rendezvous hashing, so that all daemons agree on it without a
 // message; a loaded home yields to the next one and then to any endpoint, the
 // sooner the less time the request has to spare until its answer should begin.
 func Order(p Prompt, all []Candidate) []Candidate {
-	type scored struct {
-		c    Candidate
-		home uint64
-		cost time.Duration
-	}
-	key, ok := homeKey(p.Parts)
-	shared, total := 0, 0
-	for i, part := range p.Parts {
-		total += part.Tokens
-		if i < len(p.Parts)-1 || len(p.Parts) == 1 {
-			shared += part.Tokens
+	out := byHome(p.Parts, all)
+	total, shared := p.sizes()
+	costs := make(map[core.InstanceID]time.Duration, len(out))
+	for i := range out {
+		c := &out[i]
+		again := shared
+		if c.Home = i + 1; c.Home <= homes {
+			// The second home counts as half cached: it has the part only if the
+			// first was loaded before.
+			again -= shared / c.Home
 		}
+		c.Unread = total - shared + again
+		costs[c.Endpoint.ID] = p.cost(c, again)
+	}
+	slices.SortStableFunc(out, func(a, b Candidate) int { return cmp.Compare(costs[a.Endpoint.ID], costs[b.Endpoint.ID]) })
+	return out
+}
+
+// byHome returns the candidates in the order in which they keep the shared part.
+func byHome(parts []Part, all []Candidate) []Candidate {
+	type hashed struct {
+		Candidate
+		hash uint64
 	}
-	list := make([]scored, len(all))
+	list := make([]hashed, len(all))
+	key, ok := homeKey(parts)
 	for i, c := range all {
-		list[i].c = c
+		list[i].Candidate = c
 		if ok {
-			list[i].home = xxhash.Sum64String(key + "\x00" + string(c.Endpoint.ID))
+			list[i].hash = xxhash.Sum64String(key + "\x00" + string(c.Endpoint.ID))
 		}
 	}
-	slices.SortFunc(list, func(a, b scored) int {
-		if c := cmp.Compare(b.home, a.home); c != 0 {
-			return c
-		}
-		return cmp.Compare(a.c.Endpoint.ID, b.c.Endpoint.ID)
+	slices.SortFunc(list, func(a, b hashed) int {
+		return cmp.Or(cmp.Compare(b.hash, a.hash), cmp.Compare(a.Endpoint.ID, b.Endpoint.ID))
 	})
-	for i := range list {
-		c := &list[i]
-		c.c.Home = i + 1
-		unread := total
-		again := 0
-		if ok {
-			again = shared
-		}
-		if ok && i < homes {
-			// The second home counts as half cached: it has the part only if the
-			// first was loaded before.
-			unread -= shared / (i + 1)
-			again -= shared / (i + 1)
-		}
-		c.c.Unread = unread
-		ms := float64(unread+c.c.PrefillTokens) / prefillPerMs
-		c.cost = time.Duration(ms*max(c.c.Slow, 1)*float64(time.Millisecond)) +
-			time.Duration(c.c.Running)*runningCost + c.c.Cost +
-			min(time.Duration(again)*againFactor*time.Millisecond/prefillPerMs, max(p.Spare, minAgainCost))
-		if unread >= LongPrompt && c.c.PrefillTokens >= LongPrompt && ReadingTime(unread+c.c.PrefillTokens) >= p.Pause {
-			c.cost += time.Duration(pauseShare * ms * float64(c.c.Running) * float64(time.Millisecond))
-		}
-		if c.c.Slots > 0 && c.c.Running >= c.c.Slots {
-			c.cost += fullCost
-		}
-	}
-	slices.SortStableFunc(list, func(a, b scored) int { return cmp.Compare(a.cost, b.cost) })
 	out := make([]Candidate, len(list))
-	for i, s := range list {
-		out[i] = s.c
+	for i, h := range list {
+		out[i] = h.Candidate
 	}
 	return out
 }
+
+// cost returns the time that stands for what the request takes from its own caller and
+// from the others at an endpoint, which reads again shared tokens once more.
+func (p *Prompt) cost(c *Candidate, again int) time.Duration {
+	reading := float64(ReadingTime(c.Unread+c.PrefillTokens)) * max(c.Slow, 1)
+	cost := time.Duration(reading) + time.Duration(c.Running)*runningCost + c.Cost +
+		min(ReadingTime(again)*againFactor, max(p.Spare, minAgainCost))
+	if c.Unread >= LongPrompt && c.PrefillTokens >= LongPrompt && ReadingTime(c.Unread+c.PrefillTokens) >= p.Pause {
+		cost += time.Duration(pauseShare * reading * float64(c.Running))
+	}
+	if c.Slots > 0 && c.Running >= c.Slots {
+		cost += fullCost
+	}
+	return cost
+}
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -7,13 +7,10 @@
 	"encoding/json"
 	"net"
 	"net/http"
-	"os"
-	"os/signal"
 	"runtime"
 	"runtime/debug"
 	"sync"
 	"sync/atomic"
-	"syscall"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -35,40 +32,6 @@
 )
 
 const (
-	// daemonTable is the table in which daemons list themselves.
-	daemonTable = "eelgrass-daemons"
-	// configWait is how long a read of the configuration waits for a change. It
-	// bounds how long a silent connection hides one.
-	configWait = 2 * time.Second
-	// idleWait is the wait of watchers that are no readers: they hear of a newer
-	// version from peers at once.
-	idleWait = 20 * time.Second
-	// watchers is the number of daemons that read the store; the others hear from
-	// them. Each change of a table answers the waiting call of each watcher, so all
-	// daemons of a large fleet would spend calls with the square of their number.
-	// Eight serve also while the store turns a third of the daemons away.
-	watchers = 8
-	// readers is the number of watchers with the short waits. With two, a slow link
-	// of one of them does not delay a change everywhere.
-	readers = 2
-	// listWait is the same for the list of endpoints: a leaving endpoint may get
-	// work for two seconds.
-	listWait   = time.Second
-	daemonWait = 5 * time.Second
-	// daemonPace spaces the reads of the list of daemons. Daemons that start or stop
-	// tell the others themselves; the list serves those that know nobody.
-	daemonPace = time.Second
-	// aloneAfter is how long no answer of the store is heard of before a daemon
-	// reads the store itself. Readers have one each listWait, and it is told within
-	// two exchanges. A change then shows within the 3 s that are allowed also where
-	// all readers are out of reach. It does so for aloneFor at least.
-	aloneAfter = 2 * time.Second
-	aloneFor   = 10 * time.Second
-	// lapsedBeats is the number of heartbeats after which the platform drops an
-	// endpoint's entry. An outage of the store in which entries lapse has to be
-	// noticed, so a wait for a change of the list is shorter, by lapseMargin.
-	lapsedBeats = 3
-	lapseMargin = 1100 * time.Millisecond
 	// maxBody and maxHeader bound callers' requests.
 	maxBody   = 8 << 20
 	maxHeader = 64 << 10
@@ -76,11 +39,6 @@
 	// idleTimeout how long a connection may stay unused.
 	headerTimeout = 10 * time.Second
 	idleTimeout   = 2 * time.Minute
-	// lingerTime is how long a stopping daemon still takes new connections: the
-	// balancer notices within two questions a second apart.
-	lingerTime = 2500 * time.Millisecond
-	// killMargin is left between the end of the last request and SIGKILL.
-	killMargin = 300 * time.Millisecond
 	// memoryShare of the limit is where the collector works harder.
 	memoryShare = 0.75
 	gcPercent   = 200
@@ -290,182 +248,3 @@
 	go d.cleanDaemons(ctx)
 	return d.wait(ctx, callers, failed)
 }
-
-func (d *Daemon) follow(ctx context.Context) {
-	peers := &peerTables{fleet: d.fleet, rpc: d.rpc}
-	for _, f := range []*mirror.Follower{
-		{Table: d.config, Wait: configWait, IdleWait: idleWait, Asks: d.among(watchers)},
-		{Table: d.list, Wait: listWait, IdleWait: d.listIdleWait(), Asks: d.among(watchers)},
-		{Table: d.daemons, Wait: daemonWait, IdleWait: idleWait, Pace: daemonPace, Asks: d.among(readers)},
-	} {
-		f.Store, f.Peers, f.Events, f.FollowPeers = d.store, peers, d.tel, true
-		f.Reader = func() bool { return d.ranks(readers) }
-		f.Alone = d.alone
-		go f.Run(ctx)
-	}
-}
-
-// among returns a function that says whether this daemon is one of the first n for
-// reading the store. A daemon that stops ranks nowhere; if all stop at once, each
-// asks.
-func (d *Daemon) among(n int) func() bool {
-	return func() bool { return d.stopping.Load() || d.ranks(n) }
-}
-
-// listIdleWait returns the wait of daemons that are no readers for a change of
-// the list.
-func (d *Daemon) listIdleWait() time.Duration {
-	lapse := lapsedBeats * time.Duration(d.s.EndpointHeartbeatMs) * time.Millisecond
-	return min(max(lapse-lapseMargin, listWait), idleWait)
-}
-
-// ranks says whether this daemon is among the first n for reading the store. All
-// daemons agree on them as long as they see the same daemons alive.
-func (d *Daemon) ranks(n int) bool {
-	ranked := d.fleet.View().Ranked(daemonTable, "")
-	for _, m := range ranked[:min(n, len(ranked))] {
-		if string(m.ID) == d.s.Instance {
-			return true
-		}
-	}
-	return false
-}
-
-// alone says whether this daemon reads the store because it hears of no answer.
-func (d *Daemon) alone() bool {
-	now := time.Now()
-	return d.solitude.at(now, d.storeAnswered())
-}
-
-// storeAnswered returns when the store last answered a daemon, this one included.
-// Until it hears of an answer, a daemon that starts counts its start as one.
-func (d *Daemon) storeAnswered() time.Time {
-	last := d.born
-	if at := d.fleet.StoreAnswered(); at.After(last) {
-		last = at
-	}
-	for _, t := range d.tables() {
-		if at := t.Answered(); at.After(last) {
-			last = at
-		}
-	}
-	return last
-}
-
-func (d *Daemon) tables() []*mirror.Table { return []*mirror.Table{d.config, d.list, d.daemons} }
-
-// register lists the daemon in the store.
-func (d *Daemon) register(ctx context.Context) {
-	row, err := json.Marshal(daemonRow{Address: d.s.Listen.AdvertisePeers, DataCenter: d.s.DataCenter})
-	for err == nil && ctx.Err() == nil {
-		call, cancel := context.WithTimeout(ctx, 2*time.Second)
-		err := d.store.Put(call, daemonTable, d.s.Instance, row)
-		cancel()
-		if err == nil {
-			return
-		}
-		d.log.Warn().Err(err).Msg("registration_failed")
-		time.Sleep(time.Second)
-	}
-}
-
-// watchList ends the grace of entries that vanished during an outage.
-func (d *Daemon) watchList(ctx context.Context) {
-	t := time.NewTicker(250 * time.Millisecond)
-	defer t.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-t.C:
-			if d.set.Pending() {
-				d.listChanged(d.list.Snapshot())
-			}
-		}
-	}
-}
-
-// Shutdown stops the daemon as SIGTERM does. It returns at once; Run returns
-// when the requests in progress are finished.
-func (d *Daemon) Shutdown() {
-	select {
-	case d.shutdown <- struct{}{}:
-	default:
-	}
-}
-
-// wait handles signals until the daemon has stopped.
-func (d *Daemon) wait(ctx context.Context, callers *http.Server, failed <-chan error) error {
-	signals := make(chan os.Signal, 4)
-	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
-	for {
-		select {
-		case err := <-failed:
-			return err
-		case <-ctx.Done():
-			return callers.Close()
-		case <-d.shutdown:
-			d.stop(callers)
-			return nil
-		case s := <-signals:
-			if s == syscall.SIGHUP {
-				d.reload()
-				continue
-			}
-			d.stop(callers)
-			return nil
-		}
-	}
-}
-
-// reload reads the settings file again. Addresses and limits of the process
-// apply from the next start on; addresses of peers apply at once.
-func (d *Daemon) reload() {
-	s, err := settings.LoadHosted(d.path)
-	if err != nil {
-		d.log.Error().Err(err).Msg("reload_failed")
-		return
-	}
-	var seeds []fleet.Member
-	for _, a := range s.Peers {
-		seeds = append(seeds, fleet.Member{Address: a})
-	}
-	d.fleet.Add(seeds, false)
-	d.log.Info().Int("peers", len(s.Peers)).Msg("reloaded")
-}
-
-// stop ends the daemon: the balancer and the other daemons are told, new
-// requests are served until the balancer has noticed, and requests in progress
-// are finished.
-func (d *Daemon) stop(callers *http.Server) {
-	began := time.Now()
-	d.stopping.Store(true)
-	d.fleet.Leave()
-	d.log.Info().Int("in_progress", d.forward.Active()).Msg("stopping")
-	callers.SetKeepAlivesEnabled(false)
-	end := began.Add(seconds(d.s.StopWithinS) - killMargin)
-	ctx, cancel := context.WithDeadline(context.Background(), end)
-	defer cancel()
-	go func() {
-		if err := d.store.Remove(ctx, daemonTable, d.s.Instance); err != nil {
-			d.log.Warn().Err(err).Msg("deregistration_failed")
-		}
-	}()
-	linger(ctx, lingerTime, time.Now, time.Sleep)
-	if err := callers.Shutdown(ctx); err != nil {
-		d.log.Warn().Int("in_progress", d.forward.Active()).Err(err).Msg("requests_cut")
-	}
-	d.log.Info().Int64("took_ms", time.Since(began).Milliseconds()).Msg("stopped")
-}
-
-// linger waits until the process has run for d or ctx has ended. Time in which the
-// process was paused does not count: connections that came meanwhile are still
-// waiting, and closing the listener would reset them.
-func linger(ctx context.Context, d time.Duration, now func() time.Time, sleep func(time.Duration)) {
-	const step = 50 * time.Millisecond
-	for ran := time.Duration(0); ran < d && ctx.Err() == nil; {
-		began := now()
-		sleep(step)
-		ran += min(now().Sub(began), 2*step)
-	}
-}
--- /dev/null
+++ b/internal/edge/lifecycle.go
@@ -0,0 +1,106 @@
+package edge
+
+import (
+	"context"
+	"net/http"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"eelgrassgrade/internal/app/fleet"
+	"eelgrassgrade/internal/settings"
+)
+
+const (
+	// lingerTime is how long a stopping daemon still takes new connections: the
+	// balancer notices within two questions a second apart.
+	lingerTime = 2500 * time.Millisecond
+	// killMargin is left between the end of the last request and SIGKILL.
+	killMargin = 300 * time.Millisecond
+)
+
+// Shutdown stops the daemon as SIGTERM does. It returns at once; Run returns
+// when the requests in progress are finished.
+func (d *Daemon) Shutdown() {
+	select {
+	case d.shutdown <- struct{}{}:
+	default:
+	}
+}
+
+// wait handles signals until the daemon has stopped.
+func (d *Daemon) wait(ctx context.Context, callers *http.Server, failed <-chan error) error {
+	signals := make(chan os.Signal, 4)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
+	for {
+		select {
+		case err := <-failed:
+			return err
+		case <-ctx.Done():
+			return callers.Close()
+		case <-d.shutdown:
+			d.stop(callers)
+			return nil
+		case s := <-signals:
+			if s == syscall.SIGHUP {
+				d.reload()
+				continue
+			}
+			d.stop(callers)
+			return nil
+		}
+	}
+}
+
+// reload reads the settings file again. Addresses and limits of the process
+// apply from the next start on; addresses of peers apply at once.
+func (d *Daemon) reload() {
+	s, err := settings.LoadHosted(d.path)
+	if err != nil {
+		d.log.Error().Err(err).Msg("reload_failed")
+		return
+	}
+	var seeds []fleet.Member
+	for _, a := range s.Peers {
+		seeds = append(seeds, fleet.Member{Address: a})
+	}
+	d.fleet.Add(seeds, false)
+	d.log.Info().Int("peers", len(s.Peers)).Msg("reloaded")
+}
+
+// stop ends the daemon: the balancer and the other daemons are told, new
+// requests are served until the balancer has noticed, and requests in progress
+// are finished.
+func (d *Daemon) stop(callers *http.Server) {
+	began := time.Now()
+	d.stopping.Store(true)
+	d.fleet.Leave()
+	d.log.Info().Int("in_progress", d.forward.Active()).Msg("stopping")
+	callers.SetKeepAlivesEnabled(false)
+	end := began.Add(seconds(d.s.StopWithinS) - killMargin)
+	ctx, cancel := context.WithDeadline(context.Background(), end)
+	defer cancel()
+	go func() {
+		if err := d.store.Remove(ctx, daemonTable, d.s.Instance); err != nil {
+			d.log.Warn().Err(err).Msg("deregistration_failed")
+		}
+	}()
+	linger(ctx, lingerTime, time.Now, time.Sleep)
+	if err := callers.Shutdown(ctx); err != nil {
+		d.log.Warn().Int("in_progress", d.forward.Active()).Err(err).Msg("requests_cut")
+	}
+	d.log.Info().Int64("took_ms", time.Since(began).Milliseconds()).Msg("stopped")
+}
+
+// linger waits until the process has run for d or ctx has ended. Time in which the
+// process was paused does not count: connections that came meanwhile are still
+// waiting, and closing the listener would reset them.
+func linger(ctx context.Context, d time.Duration, now func() time.Time, sleep func(time.Duration)) {
+	const step = 50 * time.Millisecond
+	for ran := time.Duration(0); ran < d && ctx.Err() == nil; {
+		began := now()
+		sleep(step)
+		ran += min(now().Sub(began), 2*step)
+	}
+}
