Meet all others at once, and announce prompts, in fleets of up to 100 daemons

First exchanges with all and announcements to all grow with the square of the fleet. Change: both stop at 100 daemons; above, daemons meet by turns and hear of prompts with the exchanges, as before. Nothing changes for 62. Test: no announcement at 120 daemons.

--- a/internal/app/fleet/fleet.go
+++ b/internal/app/fleet/fleet.go
@@ -45,9 +45,13 @@
 	maxStarted = 12
 	// firstStarted replaces maxStarted until a daemon has met the others.
 	firstStarted = 64
-	allPeers     = 2*maxStarted - 4
-	manyStarted  = 5
-	plannedEach  = 2*manyStarted - 2
+	// midSize is the number of others up to which a daemon meets all at its start and
+	// announces long prompts to all. What these take of all daemons grows with the
+	// square of their number: at 195 a quarter of their processor time.
+	midSize     = 100
+	allPeers    = 2*maxStarted - 4
+	manyStarted = 5
+	plannedEach = 2*manyStarted - 2
 	// loadedEach is the time between two exchanges with a daemon in whose queues work
 	// waits: where work goes and what is refused depends on it.
 	loadedEach = 900 * time.Millisecond
--- a/internal/app/fleet/met.go
+++ b/internal/app/fleet/met.go
@@ -36,7 +36,7 @@
 	if !missing {
 		f.setMet()
 	}
-	if untried {
+	if untried && len(f.peers) <= midSize {
 		select {
 		case f.wake <- struct{}{}:
 		default:
--- a/internal/app/fleet/reading.go
+++ b/internal/app/fleet/reading.go
@@ -40,10 +40,15 @@
 
 // Announce tells the live daemons of a long prompt. With the next exchange alone they
 // would give the endpoint more to read meanwhile. It does not wait for them; beyond
-// the bound on announcements some daemons hear with the next exchange.
+// the bound on announcements some daemons hear with the next exchange, and in a fleet
+// above midSize all do.
 func (f *Fleet) Announce(r Reading) {
 	r.From = f.self.Address
-	for _, m := range f.View().Alive {
+	alive := f.View().Alive
+	if len(alive) > midSize {
+		return
+	}
+	for _, m := range alive {
 		if m.Address == f.self.Address || !f.announces.Allow() {
 			continue
 		}
--- a/internal/app/fleet/reading_test.go
+++ b/internal/app/fleet/reading_test.go
@@ -92,3 +92,16 @@
 		}
 	})
 }
+
+// Pattern: a fleet of hundreds. What a daemon sends to each of the others, all of them
+// do, so that the messages grow with the square of the fleet.
+func TestALargeFleetHearsOfPromptsByExchanges(t *testing.T) {
+	start(t, midSize+20, func(net *network, list []*Fleet) {
+		time.Sleep(4 * time.Second)
+		list[0].Announce(Reading{Endpoint: "e", Tokens: 30_000, Left: time.Second})
+		time.Sleep(viewAge)
+		if n := net.announced.Load(); n != 0 {
+			t.Errorf("%d announcements", n)
+		}
+	})
+}
--- a/internal/app/fleet/schedule.go
+++ b/internal/app/fleet/schedule.go
@@ -20,7 +20,7 @@
 // started returns how many exchanges this daemon starts in an interval by turns: more
 // while it is new, until it has met the others. The caller holds mu.
 func (f *Fleet) started() int {
-	if !f.hasMet {
+	if !f.hasMet && len(f.peers) <= midSize {
 		return firstStarted
 	}
 	if len(f.peers) <= allPeers || f.now().Sub(f.born) < meetTime {
