Log the limits that endpoints name and the sends to such endpoints

Cause: an endpoint names in its answers how many requests a second it takes from all daemons together.

Change: the platform adapter decodes the figure of each answer to a request, a stage call or a free. app/limits keeps it by incarnation, decide/ratelimit decides which of several answers counts where they overtook each other. Lines endpoint_limit (with the figure before and its age) and endpoint_limit_unreadable (one a second at most), limit_per_s and limit_age_ms on request_sent, three counters. What is sent does not change.

--- a/internal/adapter/telemetry/hosted.go
+++ b/internal/adapter/telemetry/hosted.go
@@ -8,6 +8,7 @@
 
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/rs/zerolog"
+	"golang.org/x/time/rate"
 
 	"eelgrassgrade/internal/app/endpoints"
 	"eelgrassgrade/internal/app/fleet"
@@ -40,6 +41,8 @@
 	// sampleShare is the share of requests whose lines are logged, in units of
 	// 1/sampleScale.
 	sampleShare atomic.Int64
+	// unreadableLimits bounds the lines about limits that cannot be read.
+	unreadableLimits *rate.Limiter
 
 	mu sync.Mutex
 	// reported holds the conditions that were last logged as present.
@@ -53,7 +56,7 @@
 // more than linesPerSecond lines about requests are due in a second, the lines of
 // the next second are sampled.
 func NewHostedRecorder(log zerolog.Logger, set *metrics.Set, linesPerSecond int) *HostedRecorder {
-	h := &HostedRecorder{log: log, set: set, requests: NewRequestRecorder(set, log), linesPerSecond: int64(linesPerSecond), reported: map[string]bool{}}
+	h := &HostedRecorder{log: log, set: set, requests: NewRequestRecorder(set, log), linesPerSecond: int64(linesPerSecond), unreadableLimits: rate.NewLimiter(1, 1), reported: map[string]bool{}}
 	h.sampleShare.Store(sampleScale)
 	return h
 }
@@ -92,10 +95,17 @@
 // RequestSent implements forward.Events.
 func (h *HostedRecorder) RequestSent(r *forward.Request, pool core.PoolID, c forward.Choice, attempt int, remaining time.Duration) {
 	h.set.GetOrCreateCounter(fmt.Sprintf(`eelgrass_sends_total{pool=%q}`, pool)).Inc()
+	if c.Limited {
+		h.set.GetOrCreateCounter(fmt.Sprintf(`eelgrass_limited_sends_total{pool=%q}`, pool)).Inc()
+	}
 	if !h.sampled(r.ID) {
 		return
 	}
-	h.log.Info().Str("request", string(r.ID)).Str("pool", string(pool)).Str("endpoint", string(c.Endpoint.ID)).Str("dc", string(c.Endpoint.DataCenter)).
+	line := h.log.Info()
+	if c.Limited {
+		line = line.Float64("limit_per_s", c.LimitPerSecond).Int64("limit_age_ms", c.LimitAge.Milliseconds())
+	}
+	line.Str("request", string(r.ID)).Str("pool", string(pool)).Str("endpoint", string(c.Endpoint.ID)).Str("dc", string(c.Endpoint.DataCenter)).
 		Int("attempt", attempt).Int("running", c.Running).Int("prefill_tokens", c.PrefillTokens).Int("home", c.AffinityRank).Int("unread_tokens", c.UncachedTokens).Str("runner_up", string(c.RunnerUp)).
 		Int("runner_up_running", c.RunnerUpRunning).Int("candidates", c.Candidates).Int64("remaining_ms", remaining.Milliseconds()).Msg("request_sent")
 }
--- /dev/null
+++ b/internal/adapter/telemetry/limits.go
@@ -0,0 +1,44 @@
+package telemetry
+
+import (
+	"fmt"
+
+	"github.com/rs/zerolog"
+
+	"eelgrassgrade/internal/app/limits"
+	"eelgrassgrade/internal/core"
+	"eelgrassgrade/internal/decide/ratelimit"
+)
+
+var _ limits.Events = (*HostedRecorder)(nil)
+
+// LimitChanged implements limits.Events.
+func (h *HostedRecorder) LimitChanged(c limits.Change) {
+	what := "changed"
+	switch ratelimit.Unlimited {
+	case c.Previous:
+		what = "began"
+	case c.PerSecond:
+		what = "ended"
+	}
+	h.set.GetOrCreateCounter(fmt.Sprintf(`eelgrass_endpoint_limit_changes_total{pool=%q,what=%q}`, c.Endpoint.Pool, what)).Inc()
+	line := h.log.Info().Str("pool", string(c.Endpoint.Pool)).Str("endpoint", string(c.Endpoint.ID)).Str("what", what).Str("source", string(c.Source))
+	line = addLimit(addLimit(line, "limit_per_s", c.PerSecond), "previous_per_s", c.Previous)
+	line.Int64("previous_age_ms", c.PreviousAge.Milliseconds()).Msg("endpoint_limit")
+}
+
+// addLimit adds a limit to a line unless there is none.
+func addLimit(line *zerolog.Event, key string, perSecond float64) *zerolog.Event {
+	if perSecond == ratelimit.Unlimited {
+		return line
+	}
+	return line.Float64(key, perSecond)
+}
+
+// LimitUnreadable implements limits.Events. It logs one line per second at most.
+func (h *HostedRecorder) LimitUnreadable(e core.InstanceID, value string) {
+	h.set.GetOrCreateCounter(`eelgrass_endpoint_limits_unreadable_total`).Inc()
+	if h.unreadableLimits.Allow() {
+		h.log.Warn().Str("endpoint", string(e)).Str("value", value[:min(len(value), 40)]).Msg("endpoint_limit_unreadable")
+	}
+}
--- a/internal/app/forward/attempt.go
+++ b/internal/app/forward/attempt.go
@@ -113,7 +113,7 @@
 		e := candidates[0].Endpoint
 		tried[e.ID] = true
 		rs.outcome.Attempts, rs.outcome.Endpoint = try, e.ID
-		f.events.RequestSent(rs.req, rs.pool, explainChoice(candidates), try, rs.deadline.Sub(f.now()))
+		f.events.RequestSent(rs.req, rs.pool, f.explainChoice(candidates), try, rs.deadline.Sub(f.now()))
 		err := f.tryEndpoint(ctx, rs, candidates[0], s)
 		if err == nil {
 			return nil, false
@@ -149,11 +149,12 @@
 }
 
 // explainChoice describes the choice of the first of the candidates.
-func explainChoice(candidates []placement.Candidate) Choice {
+func (f *Forwarder) explainChoice(candidates []placement.Candidate) Choice {
 	c := Choice{Endpoint: candidates[0].Endpoint, Running: candidates[0].Running, PrefillTokens: candidates[0].PrefillTokens, AffinityRank: candidates[0].AffinityRank, UncachedTokens: candidates[0].UncachedTokens, Candidates: len(candidates)}
 	if len(candidates) > 1 {
 		c.RunnerUp, c.RunnerUpRunning = candidates[1].Endpoint.ID, candidates[1].Running
 	}
+	c.LimitPerSecond, c.LimitAge, c.Limited = f.limits.Limit(f.view().ByID[c.Endpoint.ID])
 	return c
 }
 
@@ -284,7 +285,7 @@
 		e := candidates[0].Endpoint
 		rs.outcome.Attempts++
 		rs.outcome.Endpoint = e.ID
-		f.events.RequestSent(rs.req, rs.pool, explainChoice(candidates), rs.outcome.Attempts, rs.deadline.Sub(f.now()))
+		f.events.RequestSent(rs.req, rs.pool, f.explainChoice(candidates), rs.outcome.Attempts, rs.deadline.Sub(f.now()))
 		if err := f.tryEndpoint(ctx, rs, candidates[0], &streamRelay{forwarder: f, state: rs, w: w}); err == nil || rs.answerStarted {
 			return err
 		}
--- a/internal/app/forward/fake_test.go
+++ b/internal/app/forward/fake_test.go
@@ -96,12 +96,15 @@
 			t.Fatal(err)
 		}
 		p.forwarder = New(Options{Catalog: func() *catalog.Snapshot { return p.snapshot }, View: func() *endpoints.View { return p.view },
-			Fleet: func() *fleet.View { return &fleet.View{} }, Endpoints: p, Stages: p, PausedUntil: p.pausedUntil, Budget: p, Events: discardEvents{}, Now: time.Now})
+			Fleet: func() *fleet.View { return &fleet.View{} }, Endpoints: p, Stages: p, PausedUntil: p.pausedUntil, Limits: p, Budget: p, Events: discardEvents{}, Now: time.Now})
 		p.forwarder.SetEndpoints(p.view)
 		f(p)
 	})
 }
 
+// Limit implements Limits.
+func (p *fakePlatform) Limit(endpoints.Entry) (float64, time.Duration, bool) { return 0, 0, false }
+
 func (p *fakePlatform) RecordRequests(core.PoolID, int) {}
 func (p *fakePlatform) Take(core.PoolID, int) bool      { return p.retriesAllowed }
 
--- a/internal/app/forward/forward.go
+++ b/internal/app/forward/forward.go
@@ -27,6 +27,7 @@
 	endpoints   Endpoints
 	stages      Stages
 	pausedUntil func(endpoints.Entry) time.Time
+	limits      Limits
 	budget      Budget
 	events      Events
 	now         func() time.Time
@@ -51,6 +52,7 @@
 	// PausedUntil returns the end of the pause that an endpoint has asked of this
 	// daemon, or the zero time. The endpoint gets no requests before that time.
 	PausedUntil func(endpoints.Entry) time.Time
+	Limits      Limits
 	Budget      Budget
 	Events      Events
 	Now         func() time.Time
@@ -64,7 +66,7 @@
 	if o.Announce == nil {
 		o.Announce = func(fleet.Prefill) {}
 	}
-	return &Forwarder{announce: o.Announce, catalog: o.Catalog, view: o.View, fleet: o.Fleet, endpoints: o.Endpoints, stages: o.Stages, pausedUntil: o.PausedUntil, budget: o.Budget,
+	return &Forwarder{announce: o.Announce, catalog: o.Catalog, view: o.View, fleet: o.Fleet, endpoints: o.Endpoints, stages: o.Stages, pausedUntil: o.PausedUntil, limits: o.Limits, budget: o.Budget,
 		events: o.Events, now: o.Now, tracker: newEndpointTracker(o.Now, o.Events), suspects: newSuspects(o.Now), latencies: newRouteLatencies(), overloads: newOverloadTracker()}
 }
 
--- a/internal/app/forward/ports.go
+++ b/internal/app/forward/ports.go
@@ -11,6 +11,7 @@
 	"net/http"
 	"time"
 
+	"eelgrassgrade/internal/app/endpoints"
 	"eelgrassgrade/internal/app/stagework"
 	"eelgrassgrade/internal/core"
 	"eelgrassgrade/internal/decide/catalog"
@@ -113,6 +114,14 @@
 	Take(pool core.PoolID, n int) bool
 }
 
+// Limits keeps the limits that endpoints name in their answers.
+type Limits interface {
+	// Limit returns the requests per second that an endpoint takes from all daemons
+	// together and the time since its last answer that said so, or ok false if it names
+	// no limit.
+	Limit(e endpoints.Entry) (perSecond float64, age time.Duration, ok bool)
+}
+
 // Choice describes why an endpoint was chosen.
 type Choice struct {
 	Endpoint core.Endpoint
@@ -129,6 +138,11 @@
 	AffinityRank, UncachedTokens int
 	// Candidates is the number of endpoints that were considered.
 	Candidates int
+	// Limited is true if the endpoint names a limit: LimitPerSecond requests per second
+	// from all daemons together, as its answer LimitAge ago said.
+	Limited        bool
+	LimitPerSecond float64
+	LimitAge       time.Duration
 }
 
 // Outcome describes a request that has ended.
--- /dev/null
+++ b/internal/app/limits/registry_test.go
@@ -0,0 +1,93 @@
+package limits
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"eelgrassgrade/internal/app/endpoints"
+	"eelgrassgrade/internal/core"
+	"eelgrassgrade/internal/decide/ratelimit"
+)
+
+// recorder is a view of endpoints and a record of changes.
+type recorder struct {
+	view    *endpoints.View
+	changes []Change
+	now     time.Time
+}
+
+func newRecorder(ids ...core.InstanceID) *recorder {
+	r := &recorder{view: &endpoints.View{ByID: map[core.InstanceID]endpoints.Entry{}}, now: time.Unix(1000, 0)}
+	for _, id := range ids {
+		r.view.ByID[id] = endpoints.Entry{Endpoint: core.Endpoint{ID: id, Address: "a-" + string(id)}, StartedMs: 1}
+	}
+	return r
+}
+
+func (r *recorder) LimitChanged(c Change)                   { r.changes = append(r.changes, c) }
+func (r *recorder) LimitUnreadable(core.InstanceID, string) {}
+
+func (r *recorder) registry() *Registry {
+	return NewRegistry(func() *endpoints.View { return r.view }, r, func() time.Time { return r.now })
+}
+
+// answer lets an endpoint's answer, to a request sent 10 ms before, name a limit.
+func (r *recorder) answer(reg *Registry, id core.InstanceID, perSecond float64) {
+	r.now = r.now.Add(20 * time.Millisecond)
+	reg.Observe(r.view.ByID[id].Endpoint, ratelimit.Observation{PerSecond: perSecond, SentAt: r.now.Add(-10 * time.Millisecond), ReceivedAt: r.now})
+}
+
+// Guards against a limit that is forgotten while the endpoint still names it, that
+// outlives its end or its endpoint's incarnation, or of which no line is logged.
+func TestRegistry(t *testing.T) {
+	r := newRecorder("e", "f")
+	reg := r.registry()
+	limit := func() string {
+		perSecond, age, ok := reg.Limit(r.view.ByID["e"])
+		return fmt.Sprint(perSecond, age.Milliseconds(), ok)
+	}
+	r.answer(reg, "e", ratelimit.Unlimited)
+	if got := limit(); got != "0 0 false" {
+		t.Errorf("limit %s without any named", got)
+	}
+	r.answer(reg, "e", 2)
+	r.now = r.now.Add(time.Minute)
+	if got := limit(); got != "2 60000 true" {
+		t.Errorf("limit %s, want 2 named a minute ago", got)
+	}
+	r.answer(reg, "e", 3)
+	r.answer(reg, "e", ratelimit.Unlimited)
+	if got := limit(); got != "0 0 false" {
+		t.Errorf("limit %s after an answer without one", got)
+	}
+	r.answer(reg, "e", 1)
+	restarted := r.view.ByID["e"]
+	restarted.StartedMs = 2
+	r.view.ByID["e"] = restarted
+	if got := limit(); got != "0 0 false" {
+		t.Errorf("limit %s of another incarnation", got)
+	}
+	reg.Observe(core.Endpoint{ID: "gone"}, ratelimit.Observation{PerSecond: 1, SentAt: r.now, ReceivedAt: r.now})
+	delete(r.view.ByID, "e")
+	r.answer(reg, "f", 1)
+	if got := len(*reg.byEndpoint.Load()); got != 1 {
+		t.Errorf("limits of %d endpoints are kept, want that of the one that is listed", got)
+	}
+	want := "[began 2, 2 -> 3 after 60020 ms, 3 ended after 20 ms, began 1, began 1]"
+	var got []string
+	for _, c := range r.changes {
+		switch ratelimit.Unlimited {
+		case c.Previous:
+			got = append(got, fmt.Sprint("began ", c.PerSecond))
+		case c.PerSecond:
+			got = append(got, fmt.Sprint(c.Previous, " ended after ", c.PreviousAge.Milliseconds(), " ms"))
+		default:
+			got = append(got, fmt.Sprint(c.Previous, " -> ", c.PerSecond, " after ", c.PreviousAge.Milliseconds(), " ms"))
+		}
+	}
+	if s := fmt.Sprint("[", strings.Join(got, ", "), "]"); s != want {
+		t.Errorf("changes %s, want %s", s, want)
+	}
+}
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -22,6 +22,7 @@
 	"eelgrassgrade/internal/app/endpoints"
 	"eelgrassgrade/internal/app/fleet"
 	"eelgrassgrade/internal/app/forward"
+	"eelgrassgrade/internal/app/limits"
 	"eelgrassgrade/internal/app/mirror"
 	"eelgrassgrade/internal/app/stagework"
 	"eelgrassgrade/internal/core"
@@ -55,6 +56,7 @@
 
 	catalog     atomic.Pointer[catalog.Snapshot]
 	endpoints   *endpoints.Set
+	limits      *limits.Registry
 	fleet       *fleet.Fleet
 	rpc         *fleetrpc.Client
 	coordinator *stagework.Coordinator
@@ -91,12 +93,13 @@
 	d.fleet = fleet.New(fleet.Options{Self: self, Transport: d.rpc, Source: d.status, Events: d.telemetry, OnStatus: d.learnSuspects, Now: time.Now})
 	d.budgets = newRepeatBudgets(repeats.Limits{Ratio: s.Repeats.Ratio, FixedAllowance: s.Repeats.FixedAllowance, Window: seconds(s.Repeats.WindowS)}, d.daemonCount)
 	d.endpoints = endpoints.New(time.Now, d.endpointViewChanged)
-	calls := platform.NewEndpointClient(time.Now, d.endpoints.HandleNotice)
+	d.limits = limits.NewRegistry(d.endpoints.View, d.telemetry, time.Now)
+	calls := platform.NewEndpointClient(time.Now, d.endpoints.HandleNotice, d.limits)
 	stageBudgets := newRepeatBudgets(d.budgets.limits, func() int { return coordinatorsPerPool })
 	d.coordinator = stagework.NewCoordinator(ctx, calls, d.endpoints.PausedUntil, d.telemetry, stageBudgets, time.Now)
 	d.stageClient = stagework.NewClient(d.fleet, self, d.coordinator, d.rpc, d.telemetry, time.Now)
 	d.forward = forward.New(forward.Options{Catalog: d.catalog.Load, View: d.endpoints.View, Fleet: d.fleet.View, Endpoints: calls,
-		Stages: d.stageClient, PausedUntil: d.endpoints.PausedUntil, Budget: d.budgets, Events: d.telemetry, Now: time.Now, Announce: d.fleet.Announce})
+		Stages: d.stageClient, PausedUntil: d.endpoints.PausedUntil, Limits: d.limits, Budget: d.budgets, Events: d.telemetry, Now: time.Now, Announce: d.fleet.Announce})
 	d.configTable = mirror.NewTable(platform.OperatorTable, d.configTableChanged)
 	d.endpointTable = mirror.NewTable(platform.EndpointTable, d.endpointTableChanged)
 	d.daemonTable = mirror.NewTable(daemonTableName, d.daemonTableChanged)
