--- a/internal/adapter/fleetrpc/bench_test.go
+++ b/internal/adapter/fleetrpc/bench_test.go
@@ -29,7 +29,7 @@
 		}
 		self := fleet.Member{ID: core.InstanceID(fmt.Sprint("p", i)), Address: l.Addr().String()}
 		f := fleet.New(fleet.Options{Self: self, Events: fakePorts{}, Now: time.Now, Source: func() *fleet.Status { return status }, OnStatus: func(*fleet.Status) {}})
-		s := NewServer(f, nil, stagework.NewCoordinator(b.Context(), fakePorts{}, neverPaused, fakePorts{}, fakePorts{}, time.Now), time.Now, func() bool { return false })
+		s := NewServer(f, nil, stagework.NewCoordinator(b.Context(), fakePorts{}, neverPaused, fakePorts{}, fakePorts{}, fakePorts{}, time.Now), fakePorts{}, time.Now, func() bool { return false })
 		go s.Serve(l)
 		defer s.Stop()
 		addresses = append(addresses, self.Address)
--- a/internal/adapter/fleetrpc/convert.go
+++ b/internal/adapter/fleetrpc/convert.go
@@ -9,6 +9,7 @@
 	"eelgrassgrade/internal/app/mirror"
 	"eelgrassgrade/internal/app/stagework"
 	"eelgrassgrade/internal/core"
+	"eelgrassgrade/internal/decide/ratelimit"
 )
 
 // The functions below convert between the types of the application and the messages.
@@ -16,11 +17,11 @@
 // differ.
 
 func memberToPB(m fleet.Member) *fleetpb.Member {
-	return &fleetpb.Member{Id: string(m.ID), Address: m.Address, DataCenter: string(m.DataCenter), Millicores: uint32(m.Millicores)}
+	return &fleetpb.Member{Id: string(m.ID), Address: m.Address, DataCenter: string(m.DataCenter), Millicores: uint32(m.Millicores), GrantsPermits: m.GrantsPermits}
 }
 
 func memberFromPB(m *fleetpb.Member) fleet.Member {
-	return fleet.Member{ID: core.InstanceID(m.GetId()), Address: m.GetAddress(), DataCenter: core.DataCenterID(m.GetDataCenter()), Millicores: int(m.GetMillicores())}
+	return fleet.Member{ID: core.InstanceID(m.GetId()), Address: m.GetAddress(), DataCenter: core.DataCenterID(m.GetDataCenter()), Millicores: int(m.GetMillicores()), GrantsPermits: m.GetGrantsPermits()}
 }
 
 func statusToPB(now time.Time, s *fleet.Status) *fleetpb.Status {
@@ -39,6 +40,9 @@
 	for _, x := range s.Suspects {
 		out.Suspects = append(out.Suspects, &fleetpb.Suspect{Fingerprint: x.Fingerprint, Crashes: int32(x.Crashes)})
 	}
+	for _, l := range s.Limits {
+		out.Limits = append(out.Limits, limitToPB(now, l))
+	}
 	for _, m := range s.Known {
 		out.Known = append(out.Known, memberToPB(m))
 	}
@@ -65,6 +69,9 @@
 	for _, x := range s.GetSuspects() {
 		out.Suspects = append(out.Suspects, fleet.Suspect{Fingerprint: x.GetFingerprint(), Crashes: int(x.GetCrashes())})
 	}
+	for _, l := range s.GetLimits() {
+		out.Limits = append(out.Limits, limitFromPB(now, l))
+	}
 	for _, m := range s.GetKnown() {
 		out.Known = append(out.Known, memberFromPB(m))
 	}
@@ -74,6 +81,33 @@
 	return out
 }
 
+func limitToPB(now time.Time, l fleet.EndpointLimit) *fleetpb.EndpointLimit {
+	out := &fleetpb.EndpointLimit{Endpoint: string(l.Endpoint), StartedMs: l.StartedMs,
+		SentAgoMs: now.Sub(l.SentAt).Milliseconds(), ReceivedAgoMs: now.Sub(l.ReceivedAt).Milliseconds()}
+	if l.Limited() {
+		out.PerSecond = &l.PerSecond
+	}
+	return out
+}
+
+// limitFromPB returns a limit. A figure that no endpoint can have named counts as zero.
+func limitFromPB(now time.Time, l *fleetpb.EndpointLimit) fleet.EndpointLimit {
+	perSecond := ratelimit.Unlimited
+	if l.PerSecond != nil {
+		if perSecond = l.GetPerSecond(); !(perSecond >= 0) {
+			perSecond = 0
+		}
+	}
+	ago := func(ms int64) time.Time {
+		return now.Add(-time.Duration(min(max(ms, 0), maxAge.Milliseconds())) * time.Millisecond)
+	}
+	return fleet.EndpointLimit{Endpoint: core.InstanceID(l.GetEndpoint()), StartedMs: l.GetStartedMs(),
+		Observation: ratelimit.Observation{PerSecond: perSecond, SentAt: ago(l.GetSentAgoMs()), ReceivedAt: ago(l.GetReceivedAgoMs())}}
+}
+
+// maxAge bounds the ages that are read from messages.
+const maxAge = 24 * time.Hour
+
 func (c *rowCompressor) batchToPB(now time.Time, table string, b mirror.Batch) *fleetpb.PullReply {
 	out := &fleetpb.PullReply{Version: b.Version, Full: b.Full}
 	if !b.OutageEnd.IsZero() {
--- a/internal/adapter/fleetrpc/fleetrpc.go
+++ b/internal/adapter/fleetrpc/fleetrpc.go
@@ -1,5 +1,5 @@
 // Package fleetrpc implements the calls between daemons over gRPC: exchanges of status,
-// announcements, copies of tables and stage tasks.
+// announcements, copies of tables, stage tasks and permits.
 package fleetrpc
 
 import (
@@ -17,6 +17,7 @@
 	"eelgrassgrade/internal/adapter/fleetrpc/fleetpb"
 	"eelgrassgrade/internal/app/fleet"
 	"eelgrassgrade/internal/app/mirror"
+	"eelgrassgrade/internal/app/permits"
 	"eelgrassgrade/internal/app/stagework"
 	"eelgrassgrade/internal/core"
 )
@@ -45,6 +46,7 @@
 var (
 	_ fleet.Transport        = (*Client)(nil)
 	_ stagework.Coordinators = (*Client)(nil)
+	_ permits.Grantors       = (*Client)(nil)
 )
 
 // Client calls other daemons.
@@ -166,12 +168,36 @@
 	return err
 }
 
+// RequestPermit implements permits.Grantors.
+func (c *Client) RequestPermit(ctx context.Context, address string, r *permits.Request) (*permits.Reply, error) {
+	p, err := c.fleetClient(address)
+	if err != nil {
+		return nil, err
+	}
+	reply, err := p.Permit(ctx, &fleetpb.PermitRequest{From: string(r.From), Limit: limitToPB(c.now(), r.Limit), Unpermitted: int32(r.Unpermitted), ReportOnly: r.ReportOnly})
+	if err != nil {
+		return nil, err
+	}
+	out := &permits.Reply{Granted: reply.GetGranted(), Wait: time.Duration(reply.GetWaitUs()) * time.Microsecond}
+	if reply.Limit != nil {
+		l := limitFromPB(c.now(), reply.Limit)
+		out.Limit = &l
+	}
+	return out, nil
+}
+
+// Permits answers requests for permits to send to endpoints that name a limit.
+type Permits interface {
+	HandlePermit(r *permits.Request) *permits.Reply
+}
+
 // Server serves the calls of other daemons.
 type Server struct {
 	fleetpb.UnimplementedFleetServer
 	fleet       *fleet.Fleet
 	tables      map[string]*mirror.Table
 	coordinator *stagework.Coordinator
+	permits     Permits
 	now         func() time.Time
 	stopping    func() bool
 	compressor  *rowCompressor
@@ -179,8 +205,8 @@
 }
 
 // NewServer returns a server. It refuses tasks while stopping returns true.
-func NewServer(f *fleet.Fleet, tables []*mirror.Table, c *stagework.Coordinator, now func() time.Time, stopping func() bool) *Server {
-	s := &Server{fleet: f, tables: map[string]*mirror.Table{}, coordinator: c, now: now, stopping: stopping, compressor: newRowCompressor(),
+func NewServer(f *fleet.Fleet, tables []*mirror.Table, c *stagework.Coordinator, permits Permits, now func() time.Time, stopping func() bool) *Server {
+	s := &Server{fleet: f, tables: map[string]*mirror.Table{}, coordinator: c, permits: permits, now: now, stopping: stopping, compressor: newRowCompressor(),
 		grpc: grpc.NewServer(grpc.MaxRecvMsgSize(maxMessageBytes), grpc.MaxSendMsgSize(maxMessageBytes),
 			grpc.InitialWindowSize(flowWindowBytes), grpc.InitialConnWindowSize(flowWindowBytes),
 			grpc.ReadBufferSize(connBufferBytes), grpc.WriteBufferSize(connBufferBytes), grpc.SharedWriteBuffer(true), grpc.NumStreamWorkers(streamWorkers))}
@@ -256,3 +282,14 @@
 	s.coordinator.Release(core.PoolID(r.GetPool()), resultsFromPB(r.GetResults()))
 	return &fleetpb.ReleaseReply{}, nil
 }
+
+// Permit implements fleetpb.FleetServer.
+func (s *Server) Permit(_ context.Context, r *fleetpb.PermitRequest) (*fleetpb.PermitReply, error) {
+	reply := s.permits.HandlePermit(&permits.Request{From: core.InstanceID(r.GetFrom()), Limit: limitFromPB(s.now(), r.GetLimit()),
+		Unpermitted: int(max(r.GetUnpermitted(), 0)), ReportOnly: r.GetReportOnly()})
+	out := &fleetpb.PermitReply{Granted: reply.Granted, WaitUs: reply.Wait.Microseconds()}
+	if reply.Limit != nil {
+		out.Limit = limitToPB(s.now(), *reply.Limit)
+	}
+	return out, nil
+}
--- a/internal/adapter/fleetrpc/fleetrpc_test.go
+++ b/internal/adapter/fleetrpc/fleetrpc_test.go
@@ -15,9 +15,11 @@
 	"eelgrassgrade/internal/app/endpoints"
 	"eelgrassgrade/internal/app/fleet"
 	"eelgrassgrade/internal/app/mirror"
+	"eelgrassgrade/internal/app/permits"
 	"eelgrassgrade/internal/app/stagework"
 	"eelgrassgrade/internal/core"
 	"eelgrassgrade/internal/decide/catalog"
+	"eelgrassgrade/internal/decide/ratelimit"
 )
 
 // fakePorts implements the ports that a daemon needs. Its endpoints do every piece.
@@ -35,6 +37,18 @@
 func (fakePorts) TakeOptional(core.PoolID, int) bool                                               { return true }
 func (fakePorts) FreeResults(context.Context, core.Endpoint, []string) error                       { return nil }
 
+func (fakePorts) Limit(endpoints.Entry) (float64, time.Duration, bool)          { return 0, 0, false }
+func (fakePorts) BlockedUntil(endpoints.Entry) time.Time                        { return time.Time{} }
+func (fakePorts) Acquire(context.Context, endpoints.Entry, core.RequestID) bool { return true }
+
+// HandlePermit grants a permit to each daemon that did not send without one. It replies
+// with a limit of the same endpoint, twice as high.
+func (fakePorts) HandlePermit(r *permits.Request) *permits.Reply {
+	l := r.Limit
+	l.PerSecond *= 2
+	return &permits.Reply{Granted: r.Unpermitted == 0, Wait: 1500 * time.Microsecond, Limit: &l}
+}
+
 func (fakePorts) RunPieces(_ context.Context, e core.Endpoint, pieces []stagework.Piece) ([]stagework.Outcome, error) {
 	out := make([]stagework.Outcome, len(pieces))
 	for i, p := range pieces {
@@ -62,11 +76,11 @@
 		t.Fatal(err)
 	}
 	d := &daemon{address: l.Addr().String(), table: mirror.NewTable("t", nil), received: make(chan *fleet.Status, 9)}
-	d.coordinator = stagework.NewCoordinator(t.Context(), fakePorts{}, neverPaused, fakePorts{}, fakePorts{}, time.Now)
+	d.coordinator = stagework.NewCoordinator(t.Context(), fakePorts{}, neverPaused, fakePorts{}, fakePorts{}, fakePorts{}, time.Now)
 	f := fleet.New(fleet.Options{Self: fleet.Member{ID: "d", Address: d.address}, Events: fakePorts{}, Now: time.Now,
 		Source: func() *fleet.Status { return &fleet.Status{Tables: map[string]int64{"t": 7}} }, OnStatus: func(s *fleet.Status) { d.received <- s }})
 	d.fleet = f
-	s := NewServer(f, []*mirror.Table{d.table}, d.coordinator, time.Now, d.stopping.Load)
+	s := NewServer(f, []*mirror.Table{d.table}, d.coordinator, fakePorts{}, time.Now, d.stopping.Load)
 	go func() {
 		if err := s.Serve(l); err != nil {
 			t.Error(err)
@@ -79,10 +93,13 @@
 // Guards against a status that is changed in transit.
 func TestStatusArrivesUnchanged(t *testing.T) {
 	d, c := startDaemon(t), NewClient(time.Now)
-	sent := &fleet.Status{Member: fleet.Member{ID: "me", Address: "a:1", DataCenter: "x", Millicores: 192}, Incarnation: 5, Leaving: true, Tables: map[string]int64{"t": 3},
+	sent := &fleet.Status{Member: fleet.Member{ID: "me", Address: "a:1", DataCenter: "x", Millicores: 192, GrantsPermits: true}, Incarnation: 5, Leaving: true, Tables: map[string]int64{"t": 3},
 		Loads: []fleet.EndpointLoad{{Endpoint: "e", Running: 2, PrefillTokens: 9000, Failing: true}}, Waits: []fleet.GroupWait{{StageGroup: fleet.StageGroup{Pool: "p", Group: 7}, Wait: []time.Duration{0, 1500 * time.Millisecond}}},
 		Suspects: []fleet.Suspect{{Fingerprint: 1 << 63, Crashes: 2}}, Known: []fleet.Member{{ID: "o", Address: "b:2", DataCenter: "y"}},
-		StoreAnswered: time.Now().Add(-time.Minute)}
+		StoreAnswered: time.Now().Add(-time.Minute),
+		Limits: []fleet.EndpointLimit{{Endpoint: "e", StartedMs: 77, Observation: ratelimit.Observation{PerSecond: 2.5, SentAt: time.Now().Add(-2 * time.Minute), ReceivedAt: time.Now().Add(-time.Minute)}},
+			{Endpoint: "f", StartedMs: 78, Observation: ratelimit.Observation{PerSecond: ratelimit.Unlimited, SentAt: time.Now().Add(-time.Hour), ReceivedAt: time.Now()}},
+			{Endpoint: "g", Observation: ratelimit.Observation{SentAt: time.Now(), ReceivedAt: time.Now()}}}}
 	reply, err := c.Exchange(t.Context(), d.address, sent)
 	if err != nil || reply.Member.ID != "d" || reply.Tables["t"] != 7 {
 		t.Fatalf("reply %+v, %v", reply, err)
@@ -91,12 +108,40 @@
 	if ago := time.Since(got.StoreAnswered); ago < time.Minute || ago > time.Minute+10*time.Second {
 		t.Errorf("the store answered %v ago, want a minute", ago)
 	}
+	for i, l := range got.Limits {
+		want := sent.Limits[i]
+		if d := want.SentAt.Sub(l.SentAt).Abs(); d > 10*time.Second {
+			t.Errorf("limit %d was sent %v earlier or later", i, d)
+		}
+		if d := want.ReceivedAt.Sub(l.ReceivedAt).Abs(); d > 10*time.Second {
+			t.Errorf("limit %d was received %v earlier or later", i, d)
+		}
+		got.Limits[i].SentAt, got.Limits[i].ReceivedAt = want.SentAt, want.ReceivedAt
+	}
 	got.StoreAnswered = sent.StoreAnswered
 	if !reflect.DeepEqual(got, sent) {
 		t.Errorf("arrived %+v", got)
 	}
 }
 
+// Guards against a request for a permit, or its answer, that is changed in transit.
+func TestPermitArrivesUnchanged(t *testing.T) {
+	d, c := startDaemon(t), NewClient(time.Now)
+	now := time.Now()
+	limit := fleet.EndpointLimit{Endpoint: "e", StartedMs: 77, Observation: ratelimit.Observation{PerSecond: 2.5, SentAt: now.Add(-2 * time.Minute), ReceivedAt: now.Add(-time.Minute)}}
+	granted, err := c.RequestPermit(t.Context(), d.address, &permits.Request{From: "me", Limit: limit})
+	if err != nil || !granted.Granted || granted.Wait != 1500*time.Microsecond || granted.Limit.Endpoint != "e" || granted.Limit.StartedMs != 77 || granted.Limit.PerSecond != 5 {
+		t.Fatalf("reply %+v, %v", granted, err)
+	}
+	if ago := time.Since(granted.Limit.SentAt); ago < 2*time.Minute || ago > 2*time.Minute+10*time.Second {
+		t.Errorf("the limit was sent %v ago, want two minutes", ago)
+	}
+	denied, err := c.RequestPermit(t.Context(), d.address, &permits.Request{From: "me", Limit: limit, Unpermitted: 3, ReportOnly: true})
+	if err != nil || denied.Granted {
+		t.Errorf("reply %+v, %v", denied, err)
+	}
+}
+
 // Guards against an announced prompt that is changed in transit.
 func TestAnnouncementArrivesUnchanged(t *testing.T) {
 	d, c := startDaemon(t), NewClient(time.Now)
--- a/internal/adapter/telemetry/limits.go
+++ b/internal/adapter/telemetry/limits.go
@@ -5,15 +5,15 @@
 
 	"github.com/rs/zerolog"
 
-	"eelgrassgrade/internal/app/limits"
+	"eelgrassgrade/internal/app/permits"
 	"eelgrassgrade/internal/core"
 	"eelgrassgrade/internal/decide/ratelimit"
 )
 
-var _ limits.Events = (*HostedRecorder)(nil)
+var _ permits.Events = (*HostedRecorder)(nil)
 
-// LimitChanged implements limits.Events.
-func (h *HostedRecorder) LimitChanged(c limits.Change) {
+// LimitChanged implements permits.Events.
+func (h *HostedRecorder) LimitChanged(c permits.Change) {
 	what := "changed"
 	switch ratelimit.Unlimited {
 	case c.Previous:
@@ -35,10 +35,22 @@
 	return line.Float64(key, perSecond)
 }
 
-// LimitUnreadable implements limits.Events. It logs one line per second at most.
+// LimitUnreadable implements permits.Events. It logs one line per second at most.
 func (h *HostedRecorder) LimitUnreadable(e core.InstanceID, value string) {
 	h.set.GetOrCreateCounter(`eelgrass_endpoint_limits_unreadable_total`).Inc()
 	if h.unreadableLimits.Allow() {
 		h.log.Warn().Str("endpoint", string(e)).Str("value", value[:min(len(value), 40)]).Msg("endpoint_limit_unreadable")
 	}
 }
+
+// PermitDecided implements permits.Events. request_sent shows the permits that were
+// granted, so only the others get a line of their own.
+func (h *HostedRecorder) PermitDecided(p permits.Decision) {
+	h.set.GetOrCreateCounter(fmt.Sprintf(`eelgrass_permits_total{pool=%q,granted="%t",reason=%q}`, p.Endpoint.Pool, p.Granted, p.Reason)).Inc()
+	if p.Granted || !h.sampled(p.Request) {
+		return
+	}
+	h.log.Info().Str("request", string(p.Request)).Str("pool", string(p.Endpoint.Pool)).Str("endpoint", string(p.Endpoint.ID)).
+		Float64("limit_per_s", p.PerSecond).Int64("limit_age_ms", p.Age.Milliseconds()).Str("grantor", string(p.Grantor)).
+		Str("reason", p.Reason).Int64("wait_ms", p.Wait.Milliseconds()).Msg("permit_denied")
+}
--- a/internal/app/fleet/fleet.go
+++ b/internal/app/fleet/fleet.go
@@ -12,6 +12,7 @@
 	"golang.org/x/time/rate"
 
 	"eelgrassgrade/internal/core"
+	"eelgrassgrade/internal/decide/ratelimit"
 )
 
 const (
@@ -92,6 +93,9 @@
 	// Millicores is the processor share of the daemon's process, in thousandths of a
 	// core; 0 counts as a whole core.
 	Millicores int
+	// GrantsPermits says that the daemon grants permits for endpoints that name a limit,
+	// which earlier versions do not.
+	GrantsPermits bool
 }
 
 // EndpointLoad is what one daemon has in progress on an endpoint.
@@ -123,6 +127,14 @@
 	Crashes     int
 }
 
+// EndpointLimit is a limit that an endpoint has named, or has ceased to name.
+type EndpointLimit struct {
+	Endpoint core.InstanceID
+	// StartedMs identifies the incarnation of the endpoint, see endpoints.Entry.
+	StartedMs int64
+	ratelimit.Observation
+}
+
 // Status is the state that a daemon sends to its peers.
 type Status struct {
 	Member Member
@@ -135,6 +147,11 @@
 	Loads    []EndpointLoad
 	Waits    []GroupWait
 	Suspects []Suspect
+	// Limits lists the limits that endpoints have named, those that changed last first.
+	// The first RecentLimits of them changed lately. The others are left out of statuses
+	// that do not list the known daemons.
+	Limits       []EndpointLimit
+	RecentLimits int
 	// Known lists other daemons that are alive.
 	Known []Member
 	// StoreAnswered is the time of the store's latest answer to any daemon that the
--- a/internal/app/fleet/status.go
+++ b/internal/app/fleet/status.go
@@ -24,7 +24,7 @@
 func (f *Fleet) Status() *Status { return f.status(false) }
 
 // status implements Status. If newcomer is set, the status always contains the list of
-// known daemons.
+// known daemons and all limits.
 func (f *Fleet) status(newcomer bool) *Status {
 	f.mu.Lock()
 	base := f.lastStatus
@@ -46,6 +46,7 @@
 		s.StoreAnswered = f.storeAnswered
 	}
 	if f.statusesSent++; !newcomer && f.now().Sub(f.startedAt) > knownListWarmUp && f.statusesSent%knownListEvery != 1 {
+		s.Limits = s.Limits[:s.RecentLimits]
 		return &s
 	}
 	for _, p := range f.peers {
--- a/internal/app/forward/attempt.go
+++ b/internal/app/forward/attempt.go
@@ -29,14 +29,14 @@
 
 // candidates returns the endpoints that may get a request, best first: the healthy
 // ones, then those that are ejected, failing or already being probed. It skips those
-// that were tried or have asked for a pause.
+// that were tried, have asked for a pause, or take no more requests at the moment.
 func (f *Forwarder) candidates(rs *requestState, tried map[core.InstanceID]bool) []placement.Candidate {
 	now := f.now()
 	pool := rs.snapshot.Pool(rs.pool)
 	view, fleetView := f.view(), f.fleet()
 	var healthy, degraded []placement.Candidate
 	for _, e := range view.ByPool[rs.pool] {
-		if tried[e.ID] || now.Before(f.pausedUntil(e)) {
+		if tried[e.ID] || now.Before(f.pausedUntil(e)) || e.ID != rs.permit && now.Before(f.limits.BlockedUntil(e)) {
 			continue
 		}
 		running, prefillTokens, status := f.tracker.localState(rs.pool, e.ID)
@@ -74,26 +74,6 @@
 	rs.targetStart, rs.startDeadline, rs.stagesDeadline = now, rs.deadline, rs.deadline.Add(-rs.plan.firstEventTime)
 }
 
-// poolPauseLeft returns the time until the first endpoint of a pool accepts requests
-// of this daemon again. It is 0 unless all endpoints have asked for a pause.
-func (f *Forwarder) poolPauseLeft(pool core.PoolID) time.Duration {
-	now := f.now()
-	var shortest time.Duration
-	for i, e := range f.view().ByPool[pool] {
-		left := max(f.pausedUntil(e).Sub(now), 0)
-		if i == 0 || left < shortest {
-			shortest = left
-		}
-	}
-	return shortest
-}
-
-// poolPausedError returns the error of a request to a pool of which all endpoints
-// have asked for a pause that lasts for d or longer.
-func poolPausedError(d time.Duration) *core.Error {
-	return &core.Error{Kind: core.Unavailable, Step: "endpoint", Ran: core.RanNot, RetryAfter: d, Detail: "all endpoints of the pool have asked for a pause"}
-}
-
 // tryEndpoints sends a request to one endpoint after the other until one answers or
 // the request may not be tried again. The result reports an error and whether the
 // answer was cut.
@@ -103,9 +83,9 @@
 	s := &streamRelay{forwarder: f, state: rs, w: w}
 	possibleRuns := 0
 	for try := 1; try <= maxTries; try++ {
-		candidates := f.candidates(rs, tried)
-		if pauseLeft := f.poolPauseLeft(rs.pool); len(candidates) == 0 && pauseLeft > 0 && !rs.mayHaveRun {
-			lastErr = poolPausedError(pauseLeft)
+		candidates := f.pickEndpoint(ctx, rs, tried)
+		if err := f.poolClosedError(rs.pool); len(candidates) == 0 && err != nil && !rs.mayHaveRun {
+			lastErr = err
 		}
 		if len(candidates) == 0 || ctx.Err() != nil {
 			break
@@ -280,7 +260,7 @@
 // retryFailedAnswer sends a request whose endpoint answered with a server error to
 // another endpoint. If that fails too, the caller gets the first answer.
 func (f *Forwarder) retryFailedAnswer(ctx context.Context, rs *requestState, w http.ResponseWriter, a *Answer, body []byte) error {
-	candidates := f.candidates(rs, map[core.InstanceID]bool{rs.outcome.Endpoint: true})
+	candidates := f.pickEndpoint(ctx, rs, map[core.InstanceID]bool{rs.outcome.Endpoint: true})
 	if len(candidates) > 0 {
 		e := candidates[0].Endpoint
 		rs.outcome.Attempts++
--- a/internal/app/forward/fake_test.go
+++ b/internal/app/forward/fake_test.go
@@ -59,10 +59,22 @@
 	retriesAllowed bool
 	// pauseEnds holds the ends of the pauses that endpoints have asked for.
 	pauseEnds map[core.InstanceID]time.Time
+	// limits holds the endpoints that name a limit.
+	limits map[core.InstanceID]*fakeLimit
 	// unreachable makes every reachability check fail.
 	unreachable bool
 }
 
+// fakeLimit is the limit of one endpoint, with the permits that are left and the time
+// after which another one is granted.
+type fakeLimit struct {
+	perSecond    float64
+	permits      int
+	asked        int
+	wait         time.Duration
+	blockedUntil time.Time
+}
+
 // withFakePlatform runs f, in a synctest bubble, with a fake platform whose pool "p" has
 // n endpoints.
 func withFakePlatform(t *testing.T, n int, f func(*fakePlatform)) {
@@ -103,7 +115,35 @@
 }
 
 // Limit implements Limits.
-func (p *fakePlatform) Limit(endpoints.Entry) (float64, time.Duration, bool) { return 0, 0, false }
+func (p *fakePlatform) Limit(e endpoints.Entry) (float64, time.Duration, bool) {
+	l := p.limits[e.ID]
+	if l == nil {
+		return 0, 0, false
+	}
+	return l.perSecond, time.Second, true
+}
+
+// BlockedUntil implements Limits.
+func (p *fakePlatform) BlockedUntil(e endpoints.Entry) time.Time {
+	if l := p.limits[e.ID]; l != nil {
+		return l.blockedUntil
+	}
+	return time.Time{}
+}
+
+// Acquire implements Limits.
+func (p *fakePlatform) Acquire(_ context.Context, e endpoints.Entry, _ core.RequestID) bool {
+	l := p.limits[e.ID]
+	if l == nil {
+		return true
+	}
+	if l.asked++; l.permits == 0 {
+		l.blockedUntil = time.Now().Add(l.wait)
+		return false
+	}
+	l.permits--
+	return true
+}
 
 func (p *fakePlatform) RecordRequests(core.PoolID, int) {}
 func (p *fakePlatform) Take(core.PoolID, int) bool      { return p.retriesAllowed }
--- a/internal/app/forward/forward.go
+++ b/internal/app/forward/forward.go
@@ -113,6 +113,10 @@
 	// stageRuns counts how often the stages were run.
 	stageRuns int
 	outcome   Outcome
+	// permit is the endpoint for which the request has had a permit since permitAt; empty
+	// if it has none.
+	permit   core.InstanceID
+	permitAt time.Time
 	// mayHaveRun is true if an endpoint may have run the request.
 	mayHaveRun bool
 	// answerStarted is true if the answer's status and header were sent to the caller.
@@ -224,8 +228,8 @@
 			return &core.Error{Kind: core.Unavailable, Step: "admission", Ran: core.RanNot, RetryAfter: time.Second, Detail: "no endpoint of pool " + string(s.Pool) + " accepts work"}
 		}
 	}
-	if pauseLeft := f.poolPauseLeft(rs.pool); f.now().Add(pauseLeft).After(rs.startDeadline) {
-		return poolPausedError(pauseLeft)
+	if err := f.poolClosedError(rs.pool); err != nil && f.now().Add(err.RetryAfter).After(rs.startDeadline) {
+		return err
 	}
 	rs.plan = newPlan(rs.route, rs.snapshot, rs.req.PieceCounts, f.latencies.expectedFirstEvent(rs.route.Name),
 		func(i int) time.Duration {
@@ -246,6 +250,9 @@
 			Detail: fmt.Sprintf("the queues of the stages are too long: the answer is expected to start in %d ms (%d ms without queueing), the time left is %d ms until the limit and %d ms until the target",
 				rs.plan.expectedTime.Milliseconds(), rs.plan.unqueuedTime.Milliseconds(), timeLeft.Milliseconds(), rs.targetStart.Sub(now).Milliseconds())}
 	}
+	if err := f.reservePermit(ctx, rs); err != nil {
+		return err
+	}
 	return f.runStagesWithRetry(ctx, rs)
 }
 
--- a/internal/app/forward/ports.go
+++ b/internal/app/forward/ports.go
@@ -114,12 +114,20 @@
 	Take(pool core.PoolID, n int) bool
 }
 
-// Limits keeps the limits that endpoints name in their answers.
+// Limits keeps the limits that endpoints name in their answers, and gets the permits to
+// send requests to such endpoints.
 type Limits interface {
 	// Limit returns the requests per second that an endpoint takes from all daemons
 	// together and the time since its last answer that said so, or ok false if it names
 	// no limit.
 	Limit(e endpoints.Entry) (perSecond float64, age time.Duration, ok bool)
+	// BlockedUntil returns the time before which this daemon gets no permit for an
+	// endpoint, or a time that is past.
+	BlockedUntil(e endpoints.Entry) time.Time
+	// Acquire reports whether a request may be sent to an endpoint now. It asks another
+	// daemon if the endpoint names a limit, and BlockedUntil has not passed if that does
+	// not grant a permit.
+	Acquire(ctx context.Context, e endpoints.Entry, id core.RequestID) bool
 }
 
 // Choice describes why an endpoint was chosen.
--- a/internal/app/forward/refusal.go
+++ b/internal/app/forward/refusal.go
@@ -37,7 +37,13 @@
 			// would find the next one.
 			e.RetryAfter = max(e.RetryAfter, f.overloads.recordRefusal(rs.route.Name, f.now()))
 		}
+		earliest := e.RetryAfter
 		e.RetryAfter = jitteredRetryAfter(e.RetryAfter)
+		if e.Step == endpointStep {
+			// The endpoints have named the time themselves. A caller that returns before it
+			// is refused again for certain.
+			e.RetryAfter = max(e.RetryAfter, min(earliest, maxRetryAfter))
+		}
 		return &e
 	}
 	if e.Kind != core.DeadlineExceeded {
--- /dev/null
+++ b/internal/app/permits/permits.go
@@ -0,0 +1,244 @@
+package permits
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"eelgrassgrade/internal/app/endpoints"
+	"eelgrassgrade/internal/app/fleet"
+	"eelgrassgrade/internal/core"
+	"eelgrassgrade/internal/decide/ratelimit"
+)
+
+const (
+	// permitTimeout bounds the request for a permit. It is several round trips between
+	// data centres, and short against the times in which answers are due.
+	permitTimeout = 150 * time.Millisecond
+	// grantorRetry is how long no permit is asked for after the grantor gave no answer or
+	// was another daemon than expected: the interval of exchanges, after which the daemons
+	// agree on it again.
+	grantorRetry = 300 * time.Millisecond
+	// minBlock is the shortest time without a request for a permit after a denial.
+	minBlock = 5 * time.Millisecond
+)
+
+// Request asks for permission to send one request to an endpoint.
+type Request struct {
+	From core.InstanceID
+	// Limit is the endpoint's limit as the sender knows it.
+	Limit fleet.EndpointLimit
+	// Unpermitted is the number of requests that the sender sent within ratelimit.Window
+	// before it knew of the limit.
+	Unpermitted int
+	// ReportOnly says that the sender wants no permit and only reports Unpermitted.
+	ReportOnly bool
+}
+
+// Reply is the answer to a Request.
+type Reply struct {
+	Granted bool
+	// Wait is the time after which to ask again if the permit was not granted.
+	Wait time.Duration
+	// Limit is the limit that is in force, or nil if it is that of the request.
+	Limit *fleet.EndpointLimit
+}
+
+// Grantors sends requests for permits to the daemons that grant them.
+type Grantors interface {
+	RequestPermit(ctx context.Context, address string, r *Request) (*Reply, error)
+}
+
+// Decision describes the decision whether a request may be sent to an endpoint.
+type Decision struct {
+	// Request is empty for calls that serve several requests.
+	Request  core.RequestID
+	Endpoint endpoints.Entry
+	// PerSecond is the endpoint's limit, named Age ago.
+	PerSecond float64
+	Age       time.Duration
+	// Grantor is the daemon that decided; empty if none could be asked.
+	Grantor core.InstanceID
+	Granted bool
+	// Reason says why the permit was not granted, and Wait for how long no other is asked
+	// for.
+	Reason string
+	Wait   time.Duration
+}
+
+// Reasons of a Decision against a permit that was not granted.
+const (
+	reasonLimit      = "the endpoint's limit is reached"
+	reasonNoGrantor  = "the daemon that grants permits is not known yet"
+	reasonNoResponse = "the daemon that grants permits gave no answer"
+)
+
+// permitState is what this daemon knows of the permits for an endpoint.
+type permitState struct {
+	// blockedUntil is the time before which no permit is asked for, as nanoseconds since
+	// Registry.startedAt.
+	blockedUntil atomic.Int64
+	// unreported is the number of requests sent without a permit that the grantor does not
+	// know of.
+	unreported atomic.Int64
+}
+
+// BlockedUntil returns the time before which this daemon gets no permit for an endpoint,
+// or the zero time.
+func (r *Registry) BlockedUntil(e endpoints.Entry) time.Time {
+	k, ok := r.lookup(e)
+	if !ok {
+		return time.Time{}
+	}
+	return r.startedAt.Add(time.Duration(k.state.blockedUntil.Load()))
+}
+
+// Acquire reports whether a request may be sent to an endpoint now. It returns true at
+// once for an endpoint without a limit, false while BlockedUntil has not passed, and asks
+// the endpoint's grantor otherwise. request is used for the log.
+func (r *Registry) Acquire(ctx context.Context, e endpoints.Entry, request core.RequestID) bool {
+	k, ok := r.lookup(e)
+	if !ok {
+		return true
+	}
+	if r.Now().Before(r.BlockedUntil(e)) {
+		return false
+	}
+	p := Decision{Request: request, Endpoint: e, PerSecond: k.PerSecond, Age: r.Now().Sub(k.ReceivedAt)}
+	reply, grantor, reason := r.ask(ctx, k, false)
+	p.Grantor, p.Granted, p.Reason, p.Wait = grantor, reply.Granted, reason, reply.Wait
+	if reply.Limit != nil {
+		r.mergeReport(grantor, *reply.Limit)
+	}
+	if !p.Granted {
+		p.Wait = max(p.Wait, minBlock)
+		k.state.blockedUntil.Store(int64(r.Now().Add(p.Wait).Sub(r.startedAt)))
+	}
+	r.Events.PermitDecided(p)
+	return p.Granted
+}
+
+// reportUnpermitted tells an endpoint's grantor of the requests that were sent before the
+// limit was known. If that fails, the next request for a permit does.
+func (r *Registry) reportUnpermitted(e endpoints.Entry) {
+	if k, ok := r.lookup(e); ok {
+		r.ask(context.Background(), k, true)
+	}
+}
+
+// ask asks the grantor for a permit, or only reports unpermitted requests. The reason is
+// empty if the permit was granted.
+func (r *Registry) ask(ctx context.Context, k known, reportOnly bool) (reply *Reply, grantor core.InstanceID, reason string) {
+	g, ok := r.grantor(k.entry)
+	if !ok {
+		return &Reply{Wait: grantorRetry}, "", reasonNoGrantor
+	}
+	unreported := k.state.unreported.Swap(0)
+	if g.ID == r.Self {
+		reply = r.grant(k, int(unreported), reportOnly)
+	} else {
+		ctx, cancel := context.WithTimeout(ctx, permitTimeout)
+		defer cancel()
+		var err error
+		reply, err = r.Grantors.RequestPermit(ctx, g.Address, &Request{From: r.Self, Limit: k.report(), Unpermitted: int(unreported), ReportOnly: reportOnly})
+		if err != nil {
+			k.state.unreported.Add(unreported)
+			return &Reply{Wait: grantorRetry}, g.ID, reasonNoResponse
+		}
+	}
+	if !reply.Granted {
+		reason = reasonLimit
+	}
+	return reply, g.ID, reason
+}
+
+// grantor returns the daemon that grants the permits for an endpoint: the first live one,
+// in an order that all daemons with the same view share. It returns false until this
+// daemon knows the others, since it would take itself for the grantor.
+func (r *Registry) grantor(e endpoints.Entry) (fleet.Member, bool) {
+	select {
+	case <-r.Joined():
+	default:
+		return fleet.Member{}, false
+	}
+	for _, m := range r.Fleet().Ranked("permits/"+string(e.ID), e.DataCenter) {
+		if m.GrantsPermits {
+			return m, true
+		}
+	}
+	return fleet.Member{}, false
+}
+
+// HandlePermit answers another daemon's request for a permit. A daemon that is not the
+// grantor by its own view grants nothing: two grantors together could exceed the limit.
+func (r *Registry) HandlePermit(req *Request) *Reply {
+	entry, ok := r.View().ByID[req.Limit.Endpoint]
+	if !ok || entry.StartedMs != req.Limit.StartedMs {
+		return &Reply{Wait: grantorRetry}
+	}
+	r.mergeReport(req.From, req.Limit)
+	k := (*r.byEndpoint.Load())[entry.ID]
+	var inForce *fleet.EndpointLimit
+	if k.Observation.PerSecond != req.Limit.PerSecond {
+		l := k.report()
+		inForce = &l
+	}
+	if !k.Limited() {
+		return &Reply{Granted: true, Limit: inForce}
+	}
+	if g, ok := r.grantor(entry); !ok || g.ID != r.Self {
+		return &Reply{Wait: grantorRetry, Limit: inForce}
+	}
+	reply := r.grant(k, req.Unpermitted, req.ReportOnly)
+	reply.Limit = inForce
+	return reply
+}
+
+// bucket holds the permits for one incarnation of an endpoint.
+type bucket struct {
+	*ratelimit.PermitBucket
+	startedMs int64
+}
+
+// buckets holds the permits for the endpoints whose grantor this daemon is or was.
+type buckets struct {
+	mu         sync.Mutex
+	byEndpoint map[core.InstanceID]*bucket
+}
+
+// grant decides on a permit as the endpoint's grantor. A daemon that does not reach all
+// others grants the share of those that it reaches, so that both sides of a partition
+// together keep the limit.
+func (r *Registry) grant(k known, unpermitted int, reportOnly bool) *Reply {
+	now := r.Now()
+	reached, all := len(r.Fleet().Alive), r.DaemonCount()
+	perSecond := k.PerSecond * float64(min(reached, all)) / float64(max(all, 1))
+	r.buckets.mu.Lock()
+	defer r.buckets.mu.Unlock()
+	b := r.buckets.byEndpoint[k.entry.ID]
+	if b == nil || b.startedMs != k.entry.StartedMs {
+		r.dropBuckets()
+		b = &bucket{ratelimit.NewPermitBucket(now), k.entry.StartedMs}
+		r.buckets.byEndpoint[k.entry.ID] = b
+	}
+	if unpermitted > 0 {
+		b.Charge(now, perSecond, unpermitted)
+	}
+	if reportOnly {
+		return &Reply{}
+	}
+	granted, wait := b.Take(now, perSecond)
+	return &Reply{Granted: granted, Wait: wait}
+}
+
+// dropBuckets drops the permits for endpoints that name no limit any more. The caller
+// holds buckets.mu.
+func (r *Registry) dropBuckets() {
+	current := *r.byEndpoint.Load()
+	for id, b := range r.buckets.byEndpoint {
+		if k, ok := current[id]; !ok || !k.Limited() || k.entry.StartedMs != b.startedMs {
+			delete(r.buckets.byEndpoint, id)
+		}
+	}
+}
--- /dev/null
+++ b/internal/app/permits/registry.go
@@ -0,0 +1,230 @@
+// Package permits keeps the limits that endpoints name in their answers: the requests per
+// second that an endpoint takes from all daemons together. A limit that one daemon hears
+// of is told to all others, and one daemon grants the permits for each such endpoint.
+package permits
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"eelgrassgrade/internal/app/endpoints"
+	"eelgrassgrade/internal/app/fleet"
+	"eelgrassgrade/internal/core"
+	"eelgrassgrade/internal/decide/ratelimit"
+)
+
+const (
+	// maxEndpoints bounds the endpoints whose limits are kept. A limit beyond it is not
+	// recorded.
+	maxEndpoints = 4096
+	// reportPeriod is how long a change of a limit is part of each status. By then it has
+	// reached fleets of hundreds, where a daemon meets each other one every few seconds.
+	reportPeriod = 10 * time.Second
+	// maxRecentReported and maxReported bound the limits in a status, at about 45 bytes
+	// each.
+	maxRecentReported = 16
+	maxReported       = 64
+	// forgetAfter is how long the end of a limit, or the limit of an endpoint that is not
+	// listed, is kept. Other daemons know of it by then.
+	forgetAfter = time.Minute
+	// peerClockError bounds the error of times that other daemons report as ages: the time
+	// that a message takes.
+	peerClockError = 500 * time.Millisecond
+)
+
+// Change describes a limit that began, changed or ended.
+type Change struct {
+	Endpoint endpoints.Entry
+	// PerSecond is the new limit and Previous the one before, in requests per second;
+	// ratelimit.Unlimited if there is none.
+	PerSecond, Previous float64
+	// PreviousAge is the time since the last answer that named the previous limit, 0 if
+	// there was none.
+	PreviousAge time.Duration
+	// Source is the daemon whose endpoint's answer named the limit; empty for this one.
+	Source core.InstanceID
+}
+
+// Events receives what becomes known of limits, for logs and metrics.
+type Events interface {
+	LimitChanged(c Change)
+	// LimitUnreadable reports that an endpoint named a limit that is not a number of
+	// requests per second.
+	LimitUnreadable(e core.InstanceID, value string)
+	// PermitDecided reports whether a request may be sent to an endpoint that names a
+	// limit.
+	PermitDecided(d Decision)
+}
+
+// known is the limit of one incarnation of an endpoint.
+type known struct {
+	ratelimit.Observation
+	entry     endpoints.Entry
+	changedAt time.Time
+	// state is shared by all observations of the same figure.
+	state *permitState
+}
+
+// Options of a Registry.
+type Options struct {
+	Self core.InstanceID
+	// View returns the endpoints that may get work, Fleet the live daemons.
+	View  func() *endpoints.View
+	Fleet func() *fleet.View
+	// Joined is closed once this daemon knows the others.
+	Joined func() <-chan struct{}
+	// DaemonCount returns the number of daemons, including those that this one does not
+	// reach.
+	DaemonCount func() int
+	Grantors    Grantors
+	Events      Events
+	Now         func() time.Time
+}
+
+// Registry keeps the limit of each endpoint that has named one, and gets and grants
+// permits. It is safe for concurrent use.
+type Registry struct {
+	Options
+	startedAt time.Time
+	sends     sendCounts
+
+	// byEndpoint is replaced as a whole, since the path of each request reads it.
+	byEndpoint atomic.Pointer[map[core.InstanceID]known]
+	// mu serializes changes of byEndpoint.
+	mu      sync.Mutex
+	buckets buckets
+}
+
+// NewRegistry returns an empty registry.
+func NewRegistry(o Options) *Registry {
+	r := &Registry{Options: o, startedAt: o.Now(), buckets: buckets{byEndpoint: map[core.InstanceID]*bucket{}}}
+	r.byEndpoint.Store(&map[core.InstanceID]known{})
+	return r
+}
+
+// lookup returns the limit of an incarnation of an endpoint, or ok false if it names none.
+func (r *Registry) lookup(e endpoints.Entry) (k known, ok bool) {
+	k, ok = (*r.byEndpoint.Load())[e.ID]
+	return k, ok && k.Limited() && k.entry.StartedMs == e.StartedMs
+}
+
+// RecordSend counts a request that is sent to an endpoint.
+func (r *Registry) RecordSend(e core.Endpoint) { r.sends.record(e.ID, r.Now().Sub(r.startedAt)) }
+
+// Observe records what an answer to a request of this daemon said about the limit of its
+// endpoint.
+func (r *Registry) Observe(e core.Endpoint, o ratelimit.Observation) {
+	if _, ok := (*r.byEndpoint.Load())[e.ID]; !ok && !o.Limited() {
+		return
+	}
+	if entry, ok := r.View().ByID[e.ID]; ok && entry.Address == e.Address {
+		r.merge(entry, o, 0, "")
+	}
+}
+
+// ObserveUnreadable records that an answer named a limit that cannot be read. The limit
+// that the endpoint named before stays in force.
+func (r *Registry) ObserveUnreadable(e core.Endpoint, value string) {
+	r.Events.LimitUnreadable(e.ID, value)
+}
+
+// Limit returns the limit of an endpoint in requests per second and the time since its
+// last answer that named it, or ok false if the endpoint names none.
+func (r *Registry) Limit(e endpoints.Entry) (perSecond float64, age time.Duration, ok bool) {
+	k, ok := r.lookup(e)
+	if !ok {
+		return 0, 0, false
+	}
+	return k.PerSecond, r.Now().Sub(k.ReceivedAt), true
+}
+
+// Reported returns the limits for this daemon's status, those that changed last first,
+// and how many of them changed within reportPeriod.
+func (r *Registry) Reported() (list []fleet.EndpointLimit, recent int) {
+	current := *r.byEndpoint.Load()
+	if len(current) == 0 {
+		return nil, 0
+	}
+	now := r.Now()
+	sorted := slices.SortedFunc(maps.Values(current), func(a, b known) int {
+		return cmp.Or(b.changedAt.Compare(a.changedAt), cmp.Compare(a.entry.ID, b.entry.ID))
+	})
+	for _, k := range sorted[:min(len(sorted), maxReported)] {
+		if now.Sub(k.changedAt) < reportPeriod && recent < maxRecentReported {
+			recent++
+		}
+		list = append(list, k.report())
+	}
+	return list, recent
+}
+
+// report returns the limit as it is told to other daemons.
+func (k known) report() fleet.EndpointLimit {
+	return fleet.EndpointLimit{Endpoint: k.entry.ID, StartedMs: k.entry.StartedMs, Observation: k.Observation}
+}
+
+// MergeReported adds the limits that another daemon reports.
+func (r *Registry) MergeReported(from core.InstanceID, list []fleet.EndpointLimit) {
+	for _, l := range list {
+		r.mergeReport(from, l)
+	}
+}
+
+// mergeReport adds a limit that another daemon reports. It ignores the limit of another
+// incarnation than the listed one. An endpoint that is not listed may only not be listed
+// yet, as at the start of this daemon.
+func (r *Registry) mergeReport(from core.InstanceID, l fleet.EndpointLimit) {
+	entry, ok := r.View().ByID[l.Endpoint]
+	if !ok {
+		entry = endpoints.Entry{Endpoint: core.Endpoint{ID: l.Endpoint}, StartedMs: l.StartedMs}
+	}
+	if entry.StartedMs == l.StartedMs {
+		r.merge(entry, l.Observation, peerClockError, from)
+	}
+}
+
+// merge adds an observation of an incarnation to what is known.
+func (r *Registry) merge(entry endpoints.Entry, o ratelimit.Observation, clockError time.Duration, source core.InstanceID) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	now := r.Now()
+	current := *r.byEndpoint.Load()
+	before, ok := current[entry.ID]
+	if !ok || before.entry.StartedMs != entry.StartedMs {
+		before = known{Observation: ratelimit.Observation{PerSecond: ratelimit.Unlimited}, state: &permitState{}}
+	}
+	merged := ratelimit.Merge(before.Observation, o, clockError)
+	if merged == before.Observation || !ok && (!merged.Limited() || len(current) >= maxEndpoints) {
+		return
+	}
+	after := known{merged, entry, before.changedAt, before.state}
+	if merged.PerSecond != before.PerSecond {
+		after.changedAt, after.state = now, &permitState{}
+		if !before.Limited() {
+			after.state.unreported.Store(int64(r.sends.recent(entry.ID, now.Sub(r.startedAt))))
+		}
+	}
+	next := maps.Clone(current)
+	next[entry.ID] = after
+	listed := r.View().ByID
+	maps.DeleteFunc(next, func(id core.InstanceID, k known) bool {
+		_, ok := listed[id]
+		return (!ok || !k.Limited()) && now.Sub(k.ReceivedAt) > forgetAfter
+	})
+	r.byEndpoint.Store(&next)
+	if merged.PerSecond == before.PerSecond {
+		return
+	}
+	c := Change{Endpoint: entry, PerSecond: merged.PerSecond, Previous: before.PerSecond, Source: source}
+	if before.Limited() {
+		c.PreviousAge = now.Sub(before.ReceivedAt)
+	}
+	r.Events.LimitChanged(c)
+	if after.state.unreported.Load() > 0 {
+		go r.reportUnpermitted(entry)
+	}
+}
--- a/internal/app/limits/registry_test.go
+++ b/internal/app/permits/registry_test.go
@@ -1,4 +1,4 @@
-package limits
+package permits
 
 import (
 	"fmt"
@@ -7,6 +7,7 @@
 	"time"
 
 	"eelgrassgrade/internal/app/endpoints"
+	"eelgrassgrade/internal/app/fleet"
 	"eelgrassgrade/internal/core"
 	"eelgrassgrade/internal/decide/ratelimit"
 )
@@ -28,9 +29,13 @@
 
 func (r *recorder) LimitChanged(c Change)                   { r.changes = append(r.changes, c) }
 func (r *recorder) LimitUnreadable(core.InstanceID, string) {}
+func (r *recorder) PermitDecided(Decision)                  {}
 
 func (r *recorder) registry() *Registry {
-	return NewRegistry(func() *endpoints.View { return r.view }, r, func() time.Time { return r.now })
+	joined := make(chan struct{})
+	close(joined)
+	return NewRegistry(Options{Self: "d", View: func() *endpoints.View { return r.view }, Fleet: func() *fleet.View { return &fleet.View{} },
+		Joined: func() <-chan struct{} { return joined }, DaemonCount: func() int { return 1 }, Events: r, Now: func() time.Time { return r.now }})
 }
 
 // answer lets an endpoint's answer, to a request sent 10 ms before, name a limit.
@@ -72,6 +77,11 @@
 	reg.Observe(core.Endpoint{ID: "gone"}, ratelimit.Observation{PerSecond: 1, SentAt: r.now, ReceivedAt: r.now})
 	delete(r.view.ByID, "e")
 	r.answer(reg, "f", 1)
+	if got := len(*reg.byEndpoint.Load()); got != 2 {
+		t.Errorf("%d limits are kept, want two until the endpoint has been gone for a while", got)
+	}
+	r.now = r.now.Add(forgetAfter)
+	r.answer(reg, "f", 1)
 	if got := len(*reg.byEndpoint.Load()); got != 1 {
 		t.Errorf("limits of %d endpoints are kept, want that of the one that is listed", got)
 	}
--- a/internal/app/stagework/client_test.go
+++ b/internal/app/stagework/client_test.go
@@ -30,7 +30,7 @@
 		sim := newSimulation(t, endpointCount)
 		self := fleet.Member{ID: "d0", Address: "a0", DataCenter: "dc0"}
 		fl := fleet.New(fleet.Options{Self: self, Transport: noPeers{}, Events: noPeers{}, Now: time.Now})
-		local := NewCoordinator(ctx, sim, sim.pausedUntil, noEvents{}, &fakeBudget{remaining: 50, optional: 25}, time.Now)
+		local := NewCoordinator(ctx, sim, sim.pausedUntil, sim, noEvents{}, &fakeBudget{remaining: 50, optional: 25}, time.Now)
 		f(sim, NewClient(fl, self, local, nil, noEvents{}, time.Now))
 		cancel()
 		synctest.Wait()
--- a/internal/app/stagework/coordinator.go
+++ b/internal/app/stagework/coordinator.go
@@ -78,6 +78,7 @@
 type Coordinator struct {
 	endpoints   Endpoints
 	pausedUntil func(endpoints.Entry) time.Time
+	limits      Limits
 	events      Events
 	budget      Budget
 	now         func() time.Time
@@ -93,8 +94,8 @@
 
 // NewCoordinator returns a coordinator whose calls are cancelled with ctx. pausedUntil
 // returns the end of the pause that an endpoint asked this daemon for, or the zero time.
-func NewCoordinator(ctx context.Context, e Endpoints, pausedUntil func(endpoints.Entry) time.Time, ev Events, b Budget, now func() time.Time) *Coordinator {
-	return &Coordinator{endpoints: e, pausedUntil: pausedUntil, events: ev, budget: b, now: now, ctx: ctx, releaseInputs: func(core.PoolID, []Result) {}, capacityWait: func(core.PoolID, Result) time.Duration { return 0 }, groups: map[fleet.StageGroup]*endpointGroup{}}
+func NewCoordinator(ctx context.Context, e Endpoints, pausedUntil func(endpoints.Entry) time.Time, l Limits, ev Events, b Budget, now func() time.Time) *Coordinator {
+	return &Coordinator{endpoints: e, pausedUntil: pausedUntil, limits: l, events: ev, budget: b, now: now, ctx: ctx, releaseInputs: func(core.PoolID, []Result) {}, capacityWait: func(core.PoolID, Result) time.Duration { return 0 }, groups: map[fleet.StageGroup]*endpointGroup{}}
 }
 
 // SetEndpoints replaces the endpoints of a group.
--- a/internal/app/stagework/endpoint.go
+++ b/internal/app/stagework/endpoint.go
@@ -66,6 +66,12 @@
 	// handlesToFree collects handles for the next call of FreeResults.
 	handlesToFree []string
 	freeScheduled bool
+	// freeQueuedAt is when the first of handlesToFree was added.
+	freeQueuedAt time.Time
+	// permitUntil is the time until which a permit for the next call can be used, if the
+	// endpoint names a limit. requestingPermit is set while one is asked for.
+	permitUntil      time.Time
+	requestingPermit bool
 	// roundTrip is the average round trip time, measured by calls of FreeResults. It is 0
 	// until the first of them.
 	roundTrip time.Duration
--- a/internal/app/stagework/group.go
+++ b/internal/app/stagework/group.go
@@ -241,6 +241,7 @@
 			Remaining: it.Deadline.Sub(now), Key: it.task.Key, Inputs: it.task.Inputs})
 	}
 	g.queue = slices.DeleteFunc(g.queue, func(it *workItem) bool { return !it.queued })
+	e.permitUntil = time.Time{}
 	e.blockingCalls++
 	e.outstandingCalls++
 	g.coordinator.events.CallStarted(g.poolID, e.entry.ID, call.pieces, len(g.queue), e.slowness(now))
--- a/internal/app/stagework/pause_test.go
+++ b/internal/app/stagework/pause_test.go
@@ -80,7 +80,7 @@
 		if e := core.AsError(err, ""); e == nil || e.Ran != core.RanNot || e.RetryAfter == 0 || time.Since(began) > 0 {
 			t.Errorf("%v after %v", err, time.Since(began))
 		}
-		unknown := NewCoordinator(sim.t.Context(), sim, sim.pausedUntil, noEvents{}, &fakeBudget{}, time.Now)
+		unknown := NewCoordinator(sim.t.Context(), sim, sim.pausedUntil, sim, noEvents{}, &fakeBudget{}, time.Now)
 		time.AfterFunc(300*time.Millisecond, func() { unknown.SetEndpoints(sim.pool(), 0, sim.entries()) })
 		if _, err := unknown.Submit(sim.t.Context(), 0, newTask("s", 1, 0, time.Second, 5*time.Second)); err != nil {
 			t.Errorf("before the endpoints were known: %v", err)
--- a/internal/app/stagework/ports.go
+++ b/internal/app/stagework/ports.go
@@ -9,6 +9,7 @@
 	"sync/atomic"
 	"time"
 
+	"eelgrassgrade/internal/app/endpoints"
 	"eelgrassgrade/internal/core"
 )
 
@@ -106,6 +107,20 @@
 	Status PieceStatus
 }
 
+// Limits keeps the limits that endpoints name in their answers, and gets the permits to
+// call such endpoints.
+type Limits interface {
+	// Limit returns the calls per second that an endpoint takes from all daemons together
+	// and the time since its last answer that said so, or ok false if it names no limit.
+	Limit(e endpoints.Entry) (perSecond float64, age time.Duration, ok bool)
+	// BlockedUntil returns the time before which this daemon gets no permit for an
+	// endpoint, or a time that is past.
+	BlockedUntil(e endpoints.Entry) time.Time
+	// Acquire reports whether an endpoint may be called now. It asks another daemon if the
+	// endpoint names a limit. The request may be empty.
+	Acquire(ctx context.Context, e endpoints.Entry, id core.RequestID) bool
+}
+
 // Endpoints calls stage endpoints. An error is a *core.Error whose Ran is RanNot only if
 // the endpoint provably did not start the call.
 type Endpoints interface {
--- a/internal/app/stagework/queue.go
+++ b/internal/app/stagework/queue.go
@@ -40,10 +40,10 @@
 }
 
 // finishRate returns the number of pieces that finish per second: the nominal rate of
-// the usable endpoints or, while there is a backlog, the measured rate if it is lower,
+// the usable endpoints, which their limits bound, or, while there is a backlog, the measured rate if it is lower,
 // as it is when result capacity is scarce or endpoints are slow.
 func (g *endpointGroup) finishRate(now time.Time, usable int) float64 {
-	nominal := float64(g.limits.MaxPieces*max(usable, 1)) / g.expectedTime(g.limits.MaxPieces).Seconds()
+	nominal := g.nominalRate(now)
 	for len(g.finishTimes) > 0 && now.Sub(g.finishTimes[0]) > finishRateWindow {
 		g.finishTimes = g.finishTimes[1:]
 	}
@@ -110,7 +110,8 @@
 	}
 }
 
-// idleEndpoints returns the endpoints that can take a call. If no endpoint is usable, it
+// idleEndpoints returns the endpoints that can take a call, and asks for permits for
+// those that could but for their limits. If no endpoint is usable, it
 // returns the ejected one whose ejection ends first, once that is near.
 func (g *endpointGroup) idleEndpoints(now time.Time) []*endpointState {
 	var idle []*endpointState
@@ -121,13 +122,17 @@
 			continue
 		}
 		if e.ejected(now) {
-			if e.blockingCalls == 0 && (firstToReturn == nil || e.ejectedUntil.Before(firstToReturn.ejectedUntil)) {
+			if e.blockingCalls == 0 && !g.lacksPermit(e, now) && (firstToReturn == nil || e.ejectedUntil.Before(firstToReturn.ejectedUntil)) {
 				firstToReturn = e
 			}
 			continue
 		}
 		usable++
-		if e.blockingCalls == 0 {
+		switch {
+		case e.blockingCalls > 0:
+		case g.lacksPermit(e, now):
+			g.requestPermit(e, now)
+		default:
 			idle = append(idle, e)
 		}
 	}
@@ -220,7 +225,7 @@
 // hasFastEndpointIn reports whether a usable endpoint in a data centre is not slow.
 func (g *endpointGroup) hasFastEndpointIn(now time.Time, dc string) bool {
 	for _, e := range g.endpoints {
-		if string(e.entry.DataCenter) == dc && !g.unavailable(e, now) && e.slowness(now) <= slowThreshold {
+		if string(e.entry.DataCenter) == dc && !g.unavailable(e, now) && !g.atLimit(e, now) && e.slowness(now) <= slowThreshold {
 			return true
 		}
 	}
@@ -230,7 +235,7 @@
 // hasFastEndpoint reports whether a usable endpoint is not slow.
 func (g *endpointGroup) hasFastEndpoint(now time.Time) bool {
 	for _, e := range g.endpoints {
-		if !g.unavailable(e, now) && e.slowness(now) <= slowThreshold {
+		if !g.unavailable(e, now) && !g.atLimit(e, now) && e.slowness(now) <= slowThreshold {
 			return true
 		}
 	}
--- a/internal/app/stagework/sim_test.go
+++ b/internal/app/stagework/sim_test.go
@@ -48,10 +48,44 @@
 	statusOf func(p Piece, n int) PieceStatus
 	// pauses holds when the pause of each endpoint ends.
 	pauses map[core.InstanceID]time.Time
+	// callLimits holds the calls per second that endpoints take, blocked when they take the
+	// next call.
+	callLimits map[core.InstanceID]float64
+	blocked    map[core.InstanceID]time.Time
 	// freeTimes holds when FreeResults was called.
 	freeTimes map[core.InstanceID][]time.Time
 }
 
+// Limit implements Limits.
+func (sim *simulation) Limit(e endpoints.Entry) (float64, time.Duration, bool) {
+	sim.mu.Lock()
+	defer sim.mu.Unlock()
+	perSecond, ok := sim.callLimits[e.ID]
+	return perSecond, time.Second, ok
+}
+
+// BlockedUntil implements Limits.
+func (sim *simulation) BlockedUntil(e endpoints.Entry) time.Time {
+	sim.mu.Lock()
+	defer sim.mu.Unlock()
+	return sim.blocked[e.ID]
+}
+
+// Acquire implements Limits. It grants a permit each 1/limit seconds.
+func (sim *simulation) Acquire(_ context.Context, e endpoints.Entry, _ core.RequestID) bool {
+	sim.mu.Lock()
+	defer sim.mu.Unlock()
+	perSecond, limited := sim.callLimits[e.ID]
+	if !limited {
+		return true
+	}
+	if time.Now().Before(sim.blocked[e.ID]) {
+		return false
+	}
+	sim.blocked[e.ID] = time.Now().Add(time.Duration(float64(time.Second) / perSecond))
+	return true
+}
+
 func (sim *simulation) pausedUntil(e endpoints.Entry) time.Time {
 	sim.mu.Lock()
 	defer sim.mu.Unlock()
@@ -63,7 +97,7 @@
 
 func newSimulation(t *testing.T, n int) *simulation {
 	sim := &simulation{t: t, limits: testLimits, resultBytes: 10, endpoints: map[core.InstanceID]*fakeEndpoint{}, runCounts: map[string]int{}, fetched: map[string]bool{},
-		pauses: map[core.InstanceID]time.Time{}, freeTimes: map[core.InstanceID][]time.Time{}}
+		pauses: map[core.InstanceID]time.Time{}, callLimits: map[core.InstanceID]float64{}, blocked: map[core.InstanceID]time.Time{}, freeTimes: map[core.InstanceID][]time.Time{}}
 	for i := range n {
 		id := core.InstanceID(fmt.Sprintf("m%d", i))
 		sim.endpoints[id] = &fakeEndpoint{slot: make(chan struct{}, 1), slowFactor: 1, capacity: 1 << 30, stored: map[string]int{}, entry: endpoints.Entry{Endpoint: core.Endpoint{ID: id, Pool: testPool,
@@ -212,7 +246,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(t.Context())
 		sim := newSimulation(t, n)
-		c := NewCoordinator(ctx, sim, sim.pausedUntil, noEvents{}, &fakeBudget{remaining: 50, optional: 25}, time.Now)
+		c := NewCoordinator(ctx, sim, sim.pausedUntil, sim, noEvents{}, &fakeBudget{remaining: 50, optional: 25}, time.Now)
 		c.SetEndpoints(sim.pool(), 0, sim.entries())
 		f(sim, c)
 		cancel()
--- a/internal/app/stagework/start_test.go
+++ b/internal/app/stagework/start_test.go
@@ -44,7 +44,7 @@
 			Source: func() *fleet.Status { return &fleet.Status{} }})
 		fl.Add([]fleet.Member{firstPeer}, true)
 		go fl.Run(ctx)
-		local := NewCoordinator(ctx, sim, sim.pausedUntil, noEvents{}, &fakeBudget{remaining: 50, optional: 25}, time.Now)
+		local := NewCoordinator(ctx, sim, sim.pausedUntil, sim, noEvents{}, &fakeBudget{remaining: 50, optional: 25}, time.Now)
 		remote := fakeCoordinators{make(chan string, 1)}
 		c := NewClient(fl, self, local, remote, noEvents{}, time.Now)
 		c.SetEndpoints(sim.pool(), sim.entries())
--- /dev/null
+++ b/internal/decide/ratelimit/bucket_test.go
@@ -0,0 +1,105 @@
+package ratelimit
+
+import (
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+// Guards against bursts: whatever the times of the requests and the changes of the limit,
+// no window may hold more permits than the highest limit in it allows.
+func TestBucketHoldsTheLimitInAnyWindow(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		now := start
+		b := NewPermitBucket(now)
+		limit := rapid.Float64Range(0, 20).Draw(t, "limit")
+		highest := limit
+		var grants []time.Time
+		for range rapid.IntRange(1, 200).Draw(t, "requests") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 400).Draw(t, "gap")) * time.Millisecond)
+			if rapid.IntRange(0, 9).Draw(t, "change") == 0 {
+				limit = rapid.Float64Range(0, 20).Draw(t, "next limit")
+				highest = max(highest, limit)
+			}
+			if granted, wait := b.Take(now, limit); granted {
+				grants = append(grants, now)
+			} else if wait <= 0 || wait > maxWait {
+				t.Fatalf("denied with a wait of %v", wait)
+			}
+		}
+		rate := max(highest, 1/probeInterval.Seconds())
+		for i := range grants {
+			n := 0
+			for _, g := range grants[i:] {
+				if g.Sub(grants[i]) < Window {
+					n++
+				}
+			}
+			if most := 1 + rate*(Window+burstTime).Seconds(); float64(n) > most+1e-9 {
+				t.Fatalf("%d permits in %v, the limit of %v a second allows %.1f", n, Window, highest, most)
+			}
+		}
+	})
+}
+
+// Guards against permits that are not granted although the endpoint takes requests: with
+// a steady demand above the limit, the endpoint gets what its limit allows.
+func TestBucketGrantsTheWholeLimit(t *testing.T) {
+	for _, perSecond := range []float64{0.3, 1, 2.5, 40} {
+		now, granted := start, 0
+		b := NewPermitBucket(now)
+		const seconds = 60
+		for range 100 * seconds {
+			now = now.Add(10 * time.Millisecond)
+			if ok, _ := b.Take(now, perSecond); ok {
+				granted++
+			}
+		}
+		if want := perSecond*seconds - 1; float64(granted) < want {
+			t.Errorf("%d permits in %d s at %v a second, want %.0f or more", granted, seconds, perSecond, want)
+		}
+	}
+}
+
+// Guards against requests sent before the limit was known that do not count against it,
+// and against an endpoint that gets nothing for long because of them.
+func TestEarlierRequestsCountForOneWindow(t *testing.T) {
+	firstGrant := func(charged int) time.Duration {
+		b := NewPermitBucket(start)
+		b.Charge(start, 2, charged)
+		for now := start; ; now = now.Add(10 * time.Millisecond) {
+			if ok, _ := b.Take(now, 2); ok {
+				return now.Sub(start).Round(50 * time.Millisecond)
+			}
+		}
+	}
+	if a, b, c := firstGrant(0), firstGrant(3), firstGrant(1000); a != 500*time.Millisecond || b != 2*time.Second || c != Window+500*time.Millisecond {
+		t.Errorf("first permits after %v, %v and %v", a, b, c)
+	}
+}
+
+// Guards against an endpoint that named a limit of zero and gets no request ever again,
+// since only an answer can tell that the limit has ended.
+func TestALimitOfZeroIsProbed(t *testing.T) {
+	b := NewPermitBucket(start)
+	for i, c := range []struct {
+		after time.Duration
+		want  bool
+	}{{0, false}, {probeInterval - time.Second, false}, {probeInterval, true}, {probeInterval + time.Second, false}, {2 * probeInterval, true}} {
+		if got, _ := b.Take(start.Add(c.after), 0); got != c.want {
+			t.Errorf("%d: permit after %v: %v", i, c.after, got)
+		}
+	}
+}
+
+// Guards against daemons that are all told to return for the same permit.
+func TestDeniedDaemonsReturnOneAfterTheOther(t *testing.T) {
+	b := NewPermitBucket(start)
+	for i := range 8 {
+		_, wait := b.Take(start, 2)
+		if want := min(time.Duration(i+1)*500*time.Millisecond, maxWait); wait != want {
+			t.Errorf("daemon %d waits for %v, want %v", i, wait, want)
+		}
+	}
+}
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -22,8 +22,8 @@
 	"eelgrassgrade/internal/app/endpoints"
 	"eelgrassgrade/internal/app/fleet"
 	"eelgrassgrade/internal/app/forward"
-	"eelgrassgrade/internal/app/limits"
 	"eelgrassgrade/internal/app/mirror"
+	"eelgrassgrade/internal/app/permits"
 	"eelgrassgrade/internal/app/stagework"
 	"eelgrassgrade/internal/core"
 	"eelgrassgrade/internal/decide/catalog"
@@ -56,7 +56,7 @@
 
 	catalog     atomic.Pointer[catalog.Snapshot]
 	endpoints   *endpoints.Set
-	limits      *limits.Registry
+	limits      *permits.Registry
 	fleet       *fleet.Fleet
 	rpc         *fleetrpc.Client
 	coordinator *stagework.Coordinator
@@ -89,14 +89,15 @@
 	d.store = platform.NewStore(s.Store)
 	d.rpc = fleetrpc.NewClient(time.Now)
 	self := fleet.Member{ID: core.InstanceID(s.Instance), Address: s.Listen.AdvertisePeers, DataCenter: core.DataCenterID(s.DataCenter),
-		Millicores: int(1000 * s.CPUShare * float64(s.Cores))}
-	d.fleet = fleet.New(fleet.Options{Self: self, Transport: d.rpc, Source: d.status, Events: d.telemetry, OnStatus: d.learnSuspects, Now: time.Now})
+		Millicores: int(1000 * s.CPUShare * float64(s.Cores)), GrantsPermits: true}
+	d.fleet = fleet.New(fleet.Options{Self: self, Transport: d.rpc, Source: d.status, Events: d.telemetry, OnStatus: d.learnFromStatus, Now: time.Now})
 	d.budgets = newRepeatBudgets(repeats.Limits{Ratio: s.Repeats.Ratio, FixedAllowance: s.Repeats.FixedAllowance, Window: seconds(s.Repeats.WindowS)}, d.daemonCount)
 	d.endpoints = endpoints.New(time.Now, d.endpointViewChanged)
-	d.limits = limits.NewRegistry(d.endpoints.View, d.telemetry, time.Now)
+	d.limits = permits.NewRegistry(permits.Options{Self: self.ID, View: d.endpoints.View, Fleet: d.fleet.View, Joined: d.fleet.Joined,
+		DaemonCount: d.daemonCount, Grantors: d.rpc, Events: d.telemetry, Now: time.Now})
 	calls := platform.NewEndpointClient(time.Now, d.endpoints.HandleNotice, d.limits)
 	stageBudgets := newRepeatBudgets(d.budgets.limits, func() int { return coordinatorsPerPool })
-	d.coordinator = stagework.NewCoordinator(ctx, calls, d.endpoints.PausedUntil, d.telemetry, stageBudgets, time.Now)
+	d.coordinator = stagework.NewCoordinator(ctx, calls, d.endpoints.PausedUntil, d.limits, d.telemetry, stageBudgets, time.Now)
 	d.stageClient = stagework.NewClient(d.fleet, self, d.coordinator, d.rpc, d.telemetry, time.Now)
 	d.forward = forward.New(forward.Options{Catalog: d.catalog.Load, View: d.endpoints.View, Fleet: d.fleet.View, Endpoints: calls,
 		Stages: d.stageClient, PausedUntil: d.endpoints.PausedUntil, Limits: d.limits, Budget: d.budgets, Events: d.telemetry, Now: time.Now, Announce: d.fleet.Announce})
@@ -116,6 +117,7 @@
 // status implements fleet.Source.
 func (d *Daemon) status() *fleet.Status {
 	s := &fleet.Status{Tables: map[string]int64{}, Loads: d.forward.Loads(), Suspects: d.forward.Suspects()}
+	s.Limits, s.RecentLimits = d.limits.Reported()
 	for _, t := range d.tables() {
 		s.Tables[t.Name()] = t.Snapshot().LastChange
 		if at := t.LastAnswer(); at.After(s.StoreAnswered) {
@@ -128,8 +130,12 @@
 	return s
 }
 
-// learnSuspects records the suspects that another daemon reports.
-func (d *Daemon) learnSuspects(s *fleet.Status) { d.forward.MergeSuspects(s.Member.ID, s.Suspects) }
+// learnFromStatus records the suspects and the limits of endpoints that another daemon
+// reports.
+func (d *Daemon) learnFromStatus(s *fleet.Status) {
+	d.forward.MergeSuspects(s.Member.ID, s.Suspects)
+	d.limits.MergeReported(s.Member.ID, s.Limits)
+}
 
 // daemonCount returns the number of daemons that share a fixed allowance: the live ones,
 // or those listed in the store if they are more.
@@ -216,7 +222,7 @@
 	callers := &http.Server{Handler: &platform.CallerHandler{Service: d.forward, MaxBody: maxBodyBytes, Now: time.Now}, MaxHeaderBytes: maxHeaderBytes,
 		ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}
 	ready := &http.Server{Handler: platform.ReadyHandler(d.ready), ReadHeaderTimeout: headerTimeout}
-	rpc := fleetrpc.NewServer(d.fleet, []*mirror.Table{d.configTable, d.endpointTable, d.daemonTable}, d.coordinator, time.Now, d.stopping.Load)
+	rpc := fleetrpc.NewServer(d.fleet, []*mirror.Table{d.configTable, d.endpointTable, d.daemonTable}, d.coordinator, d.limits, time.Now, d.stopping.Load)
 	defer func() {
 		rpc.Stop()
 		ready.Close()
