Do not wait for a lost grantor of permits once per endpoint

Cause: one daemon grants the permits for many endpoints. While it is lost and not yet noticed, a request that tries several of them waits 150 ms each time, up to four times, where answers are due within 200 ms.

Change: a daemon that gave no answer is not asked again for 300 ms, for whichever endpoint.

Before/after (TestALostGrantorIsNotWaitedForAgain, virtual time): one timeout of 150 ms for each endpoint, now one for all of them.

--- a/internal/app/permits/fleet_test.go
+++ b/internal/app/permits/fleet_test.go
@@ -437,14 +437,14 @@
 		now := time.Now()
 		d.registry.Load().Observe(f.entry.Endpoint, ratelimit.Observation{PerSecond: 100, SentAt: now, ReceivedAt: now})
 		time.Sleep(time.Second)
-		if d.registry.Load().Acquire(t.Context(), f.entry, "r") {
+		if d.registry.Load().Acquire(f.t.Context(), f.entry, "r") {
 			t.Error("a daemon that has not joined the fleet got a permit")
 		}
 		close(d.joined)
 		time.Sleep(time.Second)
 		granted := 0
 		for range 400 {
-			if d.registry.Load().Acquire(t.Context(), f.entry, "r") {
+			if d.registry.Load().Acquire(f.t.Context(), f.entry, "r") {
 				granted++
 			}
 			time.Sleep(10 * time.Millisecond)
@@ -454,3 +454,44 @@
 		}
 	})
 }
+
+// Guards against requests that wait for a lost grantor again and again, since one daemon
+// grants the permits for many endpoints.
+func TestALostGrantorIsNotWaitedForAgain(t *testing.T) {
+	inFleet(t, 2, func(f *testFleet) {
+		d, lost := f.daemons[0].registry.Load(), f.daemons[1]
+		f.set(func() { lost.down = true })
+		now := time.Now()
+		var entries []endpoints.Entry
+		for i := range 20 {
+			e := endpoints.Entry{Endpoint: core.Endpoint{ID: core.InstanceID(fmt.Sprint("x", i))}}
+			f.view.ByID[e.ID] = e
+			d.Observe(e.Endpoint, ratelimit.Observation{PerSecond: 5, SentAt: now, ReceivedAt: now})
+			if g, _ := d.grantor(e); g.ID == lost.member.ID {
+				entries = append(entries, e)
+			}
+		}
+		for _, e := range entries {
+			if d.Acquire(f.t.Context(), e, "r") {
+				t.Errorf("%s: a permit without its grantor", e.ID)
+			}
+		}
+		if took := time.Since(now); len(entries) < 5 || took != permitTimeout {
+			t.Errorf("%d requests for permits took %v, want one timeout of %v", len(entries), took, permitTimeout)
+		}
+		f.set(func() { lost.down = false })
+		time.Sleep(grantorRetry + time.Second)
+		granted := 0
+		for range 20 {
+			for _, e := range entries {
+				if d.Acquire(f.t.Context(), e, "r") {
+					granted++
+				}
+			}
+			time.Sleep(100 * time.Millisecond)
+		}
+		if granted == 0 {
+			t.Error("no permits after the grantor is back")
+		}
+	})
+}
--- a/internal/app/permits/permits.go
+++ b/internal/app/permits/permits.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -137,15 +138,9 @@
 	unreported := k.state.unreported.Swap(0)
 	if g.ID == r.Self {
 		reply = r.grant(k, int(unreported), reportOnly)
-	} else {
-		ctx, cancel := context.WithTimeout(ctx, permitTimeout)
-		defer cancel()
-		var err error
-		reply, err = r.Grantors.RequestPermit(ctx, g.Address, &Request{From: r.Self, Limit: k.report(), Unpermitted: int(unreported), ReportOnly: reportOnly})
-		if err != nil {
-			k.state.unreported.Add(unreported)
-			return &Reply{Wait: grantorRetry}, g.ID, reasonNoResponse
-		}
+	} else if reply = r.askPeer(ctx, g, &Request{From: r.Self, Limit: k.report(), Unpermitted: int(unreported), ReportOnly: reportOnly}); reply == nil {
+		k.state.unreported.Add(unreported)
+		return &Reply{Wait: grantorRetry}, g.ID, reasonNoResponse
 	}
 	if !reply.Granted {
 		reason = reasonLimit
@@ -153,6 +148,27 @@
 	return reply, g.ID, reason
 }
 
+// askPeer sends a request for a permit to another daemon. It returns nil if the daemon
+// gave no answer, and at once if it gave none within the last grantorRetry: one daemon
+// grants the permits for many endpoints, and a request that tries several of them must not
+// wait for it each time.
+func (r *Registry) askPeer(ctx context.Context, g fleet.Member, req *Request) *Reply {
+	if until, ok := r.silentPeers.Load(g.Address); ok && r.Now().Before(until.(time.Time)) {
+		return nil
+	}
+	ctx, cancel := context.WithTimeout(ctx, permitTimeout)
+	defer cancel()
+	reply, err := r.Grantors.RequestPermit(ctx, g.Address, req)
+	switch {
+	case err == nil:
+		r.silentPeers.Delete(g.Address)
+		return reply
+	case !errors.Is(ctx.Err(), context.Canceled):
+		r.silentPeers.Store(g.Address, r.Now().Add(grantorRetry))
+	}
+	return nil
+}
+
 // grantor returns the daemon that grants the permits for an endpoint: the first live one,
 // in an order that all daemons with the same view share. It returns false until this
 // daemon knows the others, since it would take itself for the grantor.
--- a/internal/app/permits/registry.go
+++ b/internal/app/permits/registry.go
@@ -97,6 +97,9 @@
 	// mu serializes changes of byEndpoint.
 	mu      sync.Mutex
 	buckets buckets
+	// silentPeers holds, by the address of a daemon that gave no answer, the time.Time
+	// until which it is not asked. Its size is bounded by the daemons of the fleet.
+	silentPeers sync.Map
 }
 
 // NewRegistry returns an empty registry.
