Record an answer that names the same limit without copying all limits

Change: the map is replaced when a figure changes; answers that name the same figure replace only its latest observation. A report of another daemon that a limit ended which this daemon never knew is ignored; so is a request for a permit for one.

--- a/internal/adapter/fleetrpc/bench_test.go
+++ b/internal/adapter/fleetrpc/bench_test.go
@@ -7,9 +7,14 @@
 	"testing"
 	"time"
 
+	"google.golang.org/protobuf/proto"
+
+	"eelgrassgrade/internal/adapter/fleetrpc/fleetpb"
 	"eelgrassgrade/internal/app/fleet"
+	"eelgrassgrade/internal/app/permits"
 	"eelgrassgrade/internal/app/stagework"
 	"eelgrassgrade/internal/core"
+	"eelgrassgrade/internal/decide/ratelimit"
 )
 
 // BenchmarkExchange measures both sides of an exchange. The client has 97 connections, the
@@ -57,3 +62,28 @@
 	}
 	return time.Duration(u.Utime.Nano() + u.Stime.Nano())
 }
+
+// BenchmarkPermit measures both sides of a request for a permit.
+func BenchmarkPermit(b *testing.B) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		b.Fatal(err)
+	}
+	s := NewServer(nil, nil, nil, fakePorts{}, time.Now, func() bool { return false })
+	go s.Serve(l)
+	defer s.Stop()
+	c := NewClient(time.Now)
+	now := time.Now()
+	req := &permits.Request{From: "edge-quimper-a-1", Limit: fleet.EndpointLimit{Endpoint: "i-7f3a91c2aa", StartedMs: now.UnixMilli(),
+		Observation: ratelimit.Observation{PerSecond: 2.5, SentAt: now.Add(-time.Second), ReceivedAt: now}}}
+	bytesEachWay := proto.Size(&fleetpb.PermitRequest{From: string(req.From), Limit: limitToPB(now, req.Limit)})
+	b.ReportAllocs()
+	before := cpuTime(b)
+	for b.Loop() {
+		if _, err := c.RequestPermit(b.Context(), l.Addr().String(), req); err != nil {
+			b.Fatal(err)
+		}
+	}
+	b.ReportMetric(float64(cpuTime(b)-before)/float64(b.N), "cpu-ns/op")
+	b.ReportMetric(float64(bytesEachWay), "request-bytes")
+}
--- a/internal/app/permits/permits.go
+++ b/internal/app/permits/permits.go
@@ -92,7 +92,7 @@
 	if !ok {
 		return time.Time{}
 	}
-	return r.startedAt.Add(time.Duration(k.state.blockedUntil.Load()))
+	return r.startedAt.Add(time.Duration(k.permits.blockedUntil.Load()))
 }
 
 // Acquire reports whether a request may be sent to an endpoint now. It returns true at
@@ -106,7 +106,7 @@
 	if r.Now().Before(r.BlockedUntil(e)) {
 		return false
 	}
-	p := Decision{Request: request, Endpoint: e, PerSecond: k.PerSecond, Age: r.Now().Sub(k.ReceivedAt)}
+	p := Decision{Request: request, Endpoint: e, PerSecond: k.perSecond, Age: k.age(r.Now())}
 	reply, grantor, reason := r.ask(ctx, k, false)
 	p.Grantor, p.Granted, p.Reason, p.Wait = grantor, reply.Granted, reason, reply.Wait
 	if reply.Limit != nil {
@@ -114,7 +114,7 @@
 	}
 	if !p.Granted {
 		p.Wait = max(p.Wait, minBlock)
-		k.state.blockedUntil.Store(int64(r.Now().Add(p.Wait).Sub(r.startedAt)))
+		k.permits.blockedUntil.Store(int64(r.Now().Add(p.Wait).Sub(r.startedAt)))
 	}
 	r.Events.PermitDecided(p)
 	return p.Granted
@@ -130,16 +130,16 @@
 
 // ask asks the grantor for a permit, or only reports unpermitted requests. The reason is
 // empty if the permit was granted.
-func (r *Registry) ask(ctx context.Context, k known, reportOnly bool) (reply *Reply, grantor core.InstanceID, reason string) {
+func (r *Registry) ask(ctx context.Context, k *known, reportOnly bool) (reply *Reply, grantor core.InstanceID, reason string) {
 	g, ok := r.grantor(k.entry)
 	if !ok {
 		return &Reply{Wait: grantorRetry}, "", reasonNoGrantor
 	}
-	unreported := k.state.unreported.Swap(0)
+	unreported := k.permits.unreported.Swap(0)
 	if g.ID == r.Self {
 		reply = r.grant(k, int(unreported), reportOnly)
 	} else if reply = r.askPeer(ctx, g, &Request{From: r.Self, Limit: k.report(), Unpermitted: int(unreported), ReportOnly: reportOnly}); reply == nil {
-		k.state.unreported.Add(unreported)
+		k.permits.unreported.Add(unreported)
 		return &Reply{Wait: grantorRetry}, g.ID, reasonNoResponse
 	}
 	if !reply.Granted {
@@ -194,13 +194,17 @@
 		return &Reply{Wait: grantorRetry}
 	}
 	r.mergeReport(req.From, req.Limit)
-	k := (*r.byEndpoint.Load())[entry.ID]
+	k, ok := (*r.byEndpoint.Load())[entry.ID]
+	if !ok {
+		// Too many endpoints name a limit to keep this one.
+		return &Reply{Wait: grantorRetry}
+	}
 	var inForce *fleet.EndpointLimit
-	if k.Observation.PerSecond != req.Limit.PerSecond {
+	if k.perSecond != req.Limit.PerSecond {
 		l := k.report()
 		inForce = &l
 	}
-	if !k.Limited() {
+	if !k.limited() {
 		return &Reply{Granted: true, Limit: inForce}
 	}
 	if g, ok := r.grantor(entry); !ok || g.ID != r.Self {
@@ -226,10 +230,10 @@
 // grant decides on a permit as the endpoint's grantor. A daemon that does not reach all
 // others grants the share of those that it reaches, so that both sides of a partition
 // together keep the limit.
-func (r *Registry) grant(k known, unpermitted int, reportOnly bool) *Reply {
+func (r *Registry) grant(k *known, unpermitted int, reportOnly bool) *Reply {
 	now := r.Now()
 	reached, all := len(r.Fleet().Alive), r.DaemonCount()
-	perSecond := k.PerSecond * float64(min(reached, all)) / float64(max(all, 1))
+	perSecond := k.perSecond * float64(min(reached, all)) / float64(max(all, 1))
 	r.buckets.mu.Lock()
 	defer r.buckets.mu.Unlock()
 	b := r.buckets.byEndpoint[k.entry.ID]
@@ -253,7 +257,7 @@
 func (r *Registry) dropBuckets() {
 	current := *r.byEndpoint.Load()
 	for id, b := range r.buckets.byEndpoint {
-		if k, ok := current[id]; !ok || !k.Limited() || k.entry.StartedMs != b.startedMs {
+		if k, ok := current[id]; !ok || !k.limited() || k.entry.StartedMs != b.startedMs {
 			delete(r.buckets.byEndpoint, id)
 		}
 	}
--- a/internal/app/permits/registry.go
+++ b/internal/app/permits/registry.go
@@ -60,15 +60,25 @@
 	PermitDecided(d Decision)
 }
 
-// known is the limit of one incarnation of an endpoint.
+// known is a limit that an incarnation of an endpoint has named, or the end of one. It is
+// replaced when the figure changes.
 type known struct {
-	ratelimit.Observation
 	entry     endpoints.Entry
+	perSecond float64
 	changedAt time.Time
-	// state is shared by all observations of the same figure.
-	state *permitState
+	// latest is the latest observation of the figure.
+	latest  atomic.Pointer[ratelimit.Observation]
+	permits permitState
 }
 
+func newKnown(entry endpoints.Entry, o ratelimit.Observation, now time.Time) *known {
+	k := &known{entry: entry, perSecond: o.PerSecond, changedAt: now}
+	k.latest.Store(&o)
+	return k
+}
+
+func (k *known) limited() bool { return k.perSecond < ratelimit.Unlimited }
+
 // Options of a Registry.
 type Options struct {
 	Self core.InstanceID
@@ -93,7 +103,7 @@
 	sends     sendCounts
 
 	// byEndpoint is replaced as a whole, since the path of each request reads it.
-	byEndpoint atomic.Pointer[map[core.InstanceID]known]
+	byEndpoint atomic.Pointer[map[core.InstanceID]*known]
 	// mu serializes changes of byEndpoint.
 	mu      sync.Mutex
 	buckets buckets
@@ -105,14 +115,14 @@
 // NewRegistry returns an empty registry.
 func NewRegistry(o Options) *Registry {
 	r := &Registry{Options: o, startedAt: o.Now(), buckets: buckets{byEndpoint: map[core.InstanceID]*bucket{}}}
-	r.byEndpoint.Store(&map[core.InstanceID]known{})
+	r.byEndpoint.Store(&map[core.InstanceID]*known{})
 	return r
 }
 
 // lookup returns the limit of an incarnation of an endpoint, or ok false if it names none.
-func (r *Registry) lookup(e endpoints.Entry) (k known, ok bool) {
+func (r *Registry) lookup(e endpoints.Entry) (k *known, ok bool) {
 	k, ok = (*r.byEndpoint.Load())[e.ID]
-	return k, ok && k.Limited() && k.entry.StartedMs == e.StartedMs
+	return k, ok && k.limited() && k.entry.StartedMs == e.StartedMs
 }
 
 // RecordSend counts a request that is sent to an endpoint.
@@ -142,7 +152,7 @@
 	if !ok {
 		return 0, 0, false
 	}
-	return k.PerSecond, r.Now().Sub(k.ReceivedAt), true
+	return k.perSecond, k.age(r.Now()), true
 }
 
 // Reported returns the limits for this daemon's status, those that changed last first,
@@ -153,7 +163,7 @@
 		return nil, 0
 	}
 	now := r.Now()
-	sorted := slices.SortedFunc(maps.Values(current), func(a, b known) int {
+	sorted := slices.SortedFunc(maps.Values(current), func(a, b *known) int {
 		return cmp.Or(b.changedAt.Compare(a.changedAt), cmp.Compare(a.entry.ID, b.entry.ID))
 	})
 	for _, k := range sorted[:min(len(sorted), maxReported)] {
@@ -166,10 +176,13 @@
 }
 
 // report returns the limit as it is told to other daemons.
-func (k known) report() fleet.EndpointLimit {
-	return fleet.EndpointLimit{Endpoint: k.entry.ID, StartedMs: k.entry.StartedMs, Observation: k.Observation}
+func (k *known) report() fleet.EndpointLimit {
+	return fleet.EndpointLimit{Endpoint: k.entry.ID, StartedMs: k.entry.StartedMs, Observation: *k.latest.Load()}
 }
 
+// age returns the time since the last answer that named the figure.
+func (k *known) age(now time.Time) time.Duration { return now.Sub(k.latest.Load().ReceivedAt) }
+
 // MergeReported adds the limits that another daemon reports.
 func (r *Registry) MergeReported(from core.InstanceID, list []fleet.EndpointLimit) {
 	for _, l := range list {
@@ -196,38 +209,43 @@
 	defer r.mu.Unlock()
 	now := r.Now()
 	current := *r.byEndpoint.Load()
-	before, ok := current[entry.ID]
-	if !ok || before.entry.StartedMs != entry.StartedMs {
-		before = known{Observation: ratelimit.Observation{PerSecond: ratelimit.Unlimited}, state: &permitState{}}
-	}
-	merged := ratelimit.Merge(before.Observation, o, clockError)
-	if merged == before.Observation || !ok && (!merged.Limited() || len(current) >= maxEndpoints) {
+	k, kept := current[entry.ID]
+	before := ratelimit.Observation{PerSecond: ratelimit.Unlimited}
+	if kept && k.entry.StartedMs == entry.StartedMs {
+		before = *k.latest.Load()
+	} else if !o.Limited() {
 		return
 	}
-	after := known{merged, entry, before.changedAt, before.state}
-	if merged.PerSecond != before.PerSecond {
-		after.changedAt, after.state = now, &permitState{}
-		if !before.Limited() {
-			after.state.unreported.Store(int64(r.sends.recent(entry.ID, now.Sub(r.startedAt))))
-		}
+	merged := ratelimit.Merge(before, o, clockError)
+	switch {
+	case merged == before:
+	case merged.PerSecond == before.PerSecond:
+		k.latest.Store(&merged)
+	case kept || len(current) < maxEndpoints:
+		r.replace(newKnown(entry, merged, now), before, source)
 	}
-	next := maps.Clone(current)
-	next[entry.ID] = after
+}
+
+// replace puts a new figure into force. The caller holds mu.
+func (r *Registry) replace(k *known, before ratelimit.Observation, source core.InstanceID) {
+	now := k.changedAt
+	next := maps.Clone(*r.byEndpoint.Load())
+	next[k.entry.ID] = k
 	listed := r.View().ByID
-	maps.DeleteFunc(next, func(id core.InstanceID, k known) bool {
+	maps.DeleteFunc(next, func(id core.InstanceID, k *known) bool {
 		_, ok := listed[id]
-		return (!ok || !k.Limited()) && now.Sub(k.ReceivedAt) > forgetAfter
+		return (!ok || !k.limited()) && k.age(now) > forgetAfter
 	})
-	r.byEndpoint.Store(&next)
-	if merged.PerSecond == before.PerSecond {
-		return
+	if !before.Limited() {
+		k.permits.unreported.Store(int64(r.sends.recent(k.entry.ID, now.Sub(r.startedAt))))
 	}
-	c := Change{Endpoint: entry, PerSecond: merged.PerSecond, Previous: before.PerSecond, Source: source}
+	r.byEndpoint.Store(&next)
+	c := Change{Endpoint: k.entry, PerSecond: k.perSecond, Previous: before.PerSecond, Source: source}
 	if before.Limited() {
 		c.PreviousAge = now.Sub(before.ReceivedAt)
 	}
 	r.Events.LimitChanged(c)
-	if after.state.unreported.Load() > 0 {
-		go r.reportUnpermitted(entry)
+	if k.permits.unreported.Load() > 0 {
+		go r.reportUnpermitted(k.entry)
 	}
 }
--- a/internal/app/permits/registry_test.go
+++ b/internal/app/permits/registry_test.go
@@ -81,11 +81,11 @@
 		t.Errorf("%d limits are kept, want two until the endpoint has been gone for a while", got)
 	}
 	r.now = r.now.Add(forgetAfter)
-	r.answer(reg, "f", 1)
+	r.answer(reg, "f", 2)
 	if got := len(*reg.byEndpoint.Load()); got != 1 {
 		t.Errorf("limits of %d endpoints are kept, want that of the one that is listed", got)
 	}
-	want := "[began 2, 2 -> 3 after 60020 ms, 3 ended after 20 ms, began 1, began 1]"
+	want := "[began 2, 2 -> 3 after 60020 ms, 3 ended after 20 ms, began 1, began 1, 1 -> 2 after 60020 ms]"
 	var got []string
 	for _, c := range r.changes {
 		switch ratelimit.Unlimited {
@@ -101,3 +101,36 @@
 		t.Errorf("changes %s, want %s", s, want)
 	}
 }
+
+// Guards against reports of other daemons that stop this one or are believed although
+// they are about another incarnation: of endpoints that are not listed, of ends of limits
+// that this daemon never knew, and of limits from before a restart.
+func TestReportsOfOtherDaemons(t *testing.T) {
+	r := newRecorder("e", "f")
+	reg := r.registry()
+	report := func(id core.InstanceID, startedMs int64, perSecond float64) {
+		r.now = r.now.Add(2 * peerClockError)
+		reg.MergeReported("peer", []fleet.EndpointLimit{{Endpoint: id, StartedMs: startedMs,
+			Observation: ratelimit.Observation{PerSecond: perSecond, SentAt: r.now, ReceivedAt: r.now}}})
+	}
+	report("e", 1, ratelimit.Unlimited)
+	report("unlisted", 5, ratelimit.Unlimited)
+	report("f", 7, 1)
+	if _, _, ok := reg.Limit(r.view.ByID["f"]); ok {
+		t.Error("a limit of another incarnation counts")
+	}
+	report("late", 5, 3)
+	r.view.ByID["late"] = endpoints.Entry{Endpoint: core.Endpoint{ID: "late", Address: "a-late"}, StartedMs: 5}
+	if perSecond, _, ok := reg.Limit(r.view.ByID["late"]); !ok || perSecond != 3 {
+		t.Errorf("limit %v, %v of an endpoint that was listed after the report", perSecond, ok)
+	}
+	report("e", 1, 2)
+	report("e", 1, ratelimit.Unlimited)
+	if _, _, ok := reg.Limit(r.view.ByID["e"]); ok {
+		t.Error("a limit whose end was reported is kept")
+	}
+	if reply := reg.HandlePermit(&Request{From: "peer", Limit: fleet.EndpointLimit{Endpoint: "f", StartedMs: 1,
+		Observation: ratelimit.Observation{PerSecond: ratelimit.Unlimited, SentAt: r.now, ReceivedAt: r.now}}}); reply.Granted {
+		t.Error("a permit was granted for an endpoint without a known limit")
+	}
+}
