Grant the permits of a limited endpoint to urgent requests first

Cause: permits went to whoever asked first. Where all endpoints of a pool name limits below the demand, urgent requests are refused as often as the least urgent ones, although urgent work comes first.

Change: a request for a permit names its rank. While more urgent requests came in the last 2 s, one permit is kept for the next of them; after three permits in a row less urgent ones get theirs, so they have a quarter or more. A denial blocks requests of the same rank and less urgent ones only. The grantor holds two permits and a quarter of a second's, and tells each denied daemon the first time for which no other waits.

--- a/internal/adapter/fleetrpc/fleetrpc.go
+++ b/internal/adapter/fleetrpc/fleetrpc.go
@@ -174,7 +174,7 @@
 	if err != nil {
 		return nil, err
 	}
-	reply, err := p.Permit(ctx, &fleetpb.PermitRequest{From: string(r.From), Limit: limitToPB(c.now(), r.Limit), Unpermitted: int32(r.Unpermitted), ReportOnly: r.ReportOnly})
+	reply, err := p.Permit(ctx, &fleetpb.PermitRequest{From: string(r.From), Limit: limitToPB(c.now(), r.Limit), Unpermitted: int32(r.Unpermitted), ReportOnly: r.ReportOnly, Rank: int32(r.Rank)})
 	if err != nil {
 		return nil, err
 	}
@@ -286,7 +286,7 @@
 // Permit implements fleetpb.FleetServer.
 func (s *Server) Permit(_ context.Context, r *fleetpb.PermitRequest) (*fleetpb.PermitReply, error) {
 	reply := s.permits.HandlePermit(&permits.Request{From: core.InstanceID(r.GetFrom()), Limit: limitFromPB(s.now(), r.GetLimit()),
-		Unpermitted: int(max(r.GetUnpermitted(), 0)), ReportOnly: r.GetReportOnly()})
+		Unpermitted: int(max(r.GetUnpermitted(), 0)), ReportOnly: r.GetReportOnly(), Rank: int(r.GetRank())})
 	out := &fleetpb.PermitReply{Granted: reply.Granted, WaitUs: reply.Wait.Microseconds()}
 	if reply.Limit != nil {
 		out.Limit = limitToPB(s.now(), *reply.Limit)
--- a/internal/adapter/telemetry/limits.go
+++ b/internal/adapter/telemetry/limits.go
@@ -52,5 +52,5 @@
 	}
 	h.log.Info().Str("request", string(p.Request)).Str("pool", string(p.Endpoint.Pool)).Str("endpoint", string(p.Endpoint.ID)).
 		Float64("limit_per_s", p.PerSecond).Int64("limit_age_ms", p.Age.Milliseconds()).Str("grantor", string(p.Grantor)).
-		Str("reason", p.Reason).Int64("wait_ms", p.Wait.Milliseconds()).Msg("permit_denied")
+		Int("rank", p.Rank).Str("reason", p.Reason).Int64("wait_ms", p.Wait.Milliseconds()).Msg("permit_denied")
 }
--- a/internal/app/forward/attempt.go
+++ b/internal/app/forward/attempt.go
@@ -36,7 +36,7 @@
 	view, fleetView := f.view(), f.fleet()
 	var healthy, degraded []placement.Candidate
 	for _, e := range view.ByPool[rs.pool] {
-		if tried[e.ID] || now.Before(f.pausedUntil(e)) || e.ID != rs.permit && now.Before(f.limits.BlockedUntil(e)) {
+		if tried[e.ID] || now.Before(f.pausedUntil(e)) || e.ID != rs.permit && now.Before(f.limits.BlockedUntil(e, rs.rank)) {
 			continue
 		}
 		running, prefillTokens, status := f.tracker.localState(rs.pool, e.ID)
@@ -84,7 +84,7 @@
 	possibleRuns := 0
 	for try := 1; try <= maxTries; try++ {
 		candidates := f.pickEndpoint(ctx, rs, tried)
-		if err := f.poolClosedError(rs.pool); len(candidates) == 0 && err != nil && !rs.mayHaveRun {
+		if err := f.poolClosedError(rs.pool, rs.rank); len(candidates) == 0 && err != nil && !rs.mayHaveRun {
 			lastErr = err
 		}
 		if len(candidates) == 0 || ctx.Err() != nil {
--- a/internal/app/forward/forward.go
+++ b/internal/app/forward/forward.go
@@ -228,7 +228,7 @@
 			return &core.Error{Kind: core.Unavailable, Step: "admission", Ran: core.RanNot, RetryAfter: time.Second, Detail: "no endpoint of pool " + string(s.Pool) + " accepts work"}
 		}
 	}
-	if err := f.poolClosedError(rs.pool); err != nil && f.now().Add(err.RetryAfter).After(rs.startDeadline) {
+	if err := f.poolClosedError(rs.pool, rs.rank); err != nil && f.now().Add(err.RetryAfter).After(rs.startDeadline) {
 		return err
 	}
 	rs.plan = newPlan(rs.route, rs.snapshot, rs.req.PieceCounts, f.latencies.expectedFirstEvent(rs.route.Name),
--- a/internal/app/forward/pick.go
+++ b/internal/app/forward/pick.go
@@ -20,10 +20,10 @@
 	permitLife = ratelimit.Window / 2
 )
 
-// closedUntil returns the time before which an endpoint gets no requests of this daemon,
-// since it asked for a pause or its limit is reached.
-func (f *Forwarder) closedUntil(e endpoints.Entry) time.Time {
-	paused, blocked := f.pausedUntil(e), f.limits.BlockedUntil(e)
+// closedUntil returns the time before which an endpoint gets no requests of a rank from
+// this daemon, since it asked for a pause or its limit is reached.
+func (f *Forwarder) closedUntil(e endpoints.Entry, rank int) time.Time {
+	paused, blocked := f.pausedUntil(e), f.limits.BlockedUntil(e, rank)
 	if blocked.After(paused) {
 		return blocked
 	}
@@ -54,7 +54,7 @@
 		if len(candidates) == 0 {
 			return nil
 		}
-		if f.limits.Acquire(ctx, f.view().ByID[candidates[0].Endpoint.ID], rs.req.ID) {
+		if f.limits.Acquire(ctx, f.view().ByID[candidates[0].Endpoint.ID], rs.rank, rs.req.ID) {
 			return candidates
 		}
 		asked++
@@ -87,7 +87,7 @@
 	}
 	candidates := f.pickEndpoint(ctx, rs, nil)
 	if len(candidates) == 0 {
-		if err := f.poolClosedError(rs.pool); err != nil {
+		if err := f.poolClosedError(rs.pool, rs.rank); err != nil {
 			return err
 		}
 		return limitReachedError(grantorRetryAfter)
@@ -99,23 +99,23 @@
 // grantorRetryAfter is the time to come back if some endpoints were not asked for a permit.
 const grantorRetryAfter = 500 * time.Millisecond
 
-// poolClosedFor returns the time until the first endpoint of a pool accepts requests of
-// this daemon again, and whether that endpoint names a limit. It is 0 unless all endpoints
-// are closed to this daemon.
-func (f *Forwarder) poolClosedFor(pool core.PoolID) (left time.Duration, limited bool) {
+// poolClosedFor returns the time until the first endpoint of a pool accepts requests of a
+// rank from this daemon again, and whether that endpoint names a limit. It is 0 unless all
+// endpoints are closed to them.
+func (f *Forwarder) poolClosedFor(pool core.PoolID, rank int) (left time.Duration, limited bool) {
 	now := f.now()
 	for i, e := range f.view().ByPool[pool] {
-		if d := max(f.closedUntil(e).Sub(now), 0); i == 0 || d < left {
-			left, limited = d, now.Before(f.limits.BlockedUntil(e))
+		if d := max(f.closedUntil(e, rank).Sub(now), 0); i == 0 || d < left {
+			left, limited = d, now.Before(f.limits.BlockedUntil(e, rank))
 		}
 	}
 	return left, limited
 }
 
 // poolClosedError returns the error of a request to a pool of which all endpoints are
-// closed to this daemon, or nil if one is not.
-func (f *Forwarder) poolClosedError(pool core.PoolID) *core.Error {
-	switch left, limited := f.poolClosedFor(pool); {
+// closed to requests of its rank, or nil if one is not.
+func (f *Forwarder) poolClosedError(pool core.PoolID, rank int) *core.Error {
+	switch left, limited := f.poolClosedFor(pool, rank); {
 	case left <= 0:
 		return nil
 	case limited:
--- a/internal/app/forward/ports.go
+++ b/internal/app/forward/ports.go
@@ -122,12 +122,12 @@
 	// no limit.
 	Limit(e endpoints.Entry) (perSecond float64, age time.Duration, ok bool)
 	// BlockedUntil returns the time before which this daemon gets no permit for an
-	// endpoint, or a time that is past.
-	BlockedUntil(e endpoints.Entry) time.Time
-	// Acquire reports whether a request may be sent to an endpoint now. It asks another
+	// endpoint for work of a rank, or a time that is past.
+	BlockedUntil(e endpoints.Entry, rank int) time.Time
+	// Acquire reports whether a request of a rank may be sent to an endpoint now. It asks another
 	// daemon if the endpoint names a limit, and BlockedUntil has not passed if that does
 	// not grant a permit.
-	Acquire(ctx context.Context, e endpoints.Entry, id core.RequestID) bool
+	Acquire(ctx context.Context, e endpoints.Entry, rank int, id core.RequestID) bool
 }
 
 // Choice describes why an endpoint was chosen.
--- a/internal/app/permits/permits.go
+++ b/internal/app/permits/permits.go
@@ -35,6 +35,8 @@
 	Unpermitted int
 	// ReportOnly says that the sender wants no permit and only reports Unpermitted.
 	ReportOnly bool
+	// Rank is the rank of the request, 0 first.
+	Rank int
 }
 
 // Reply is the answer to a Request.
@@ -55,6 +57,7 @@
 type Decision struct {
 	// Request is empty for calls that serve several requests.
 	Request  core.RequestID
+	Rank     int
 	Endpoint endpoints.Entry
 	// PerSecond is the endpoint's limit, named Age ago.
 	PerSecond float64
@@ -77,44 +80,55 @@
 
 // permitState is what this daemon knows of the permits for an endpoint.
 type permitState struct {
-	// blockedUntil is the time before which no permit is asked for, as nanoseconds since
-	// Registry.startedAt.
-	blockedUntil atomic.Int64
+	// blockedUntil is the time before which no permit is asked for, by the rank of the
+	// request, as nanoseconds since Registry.startedAt.
+	blockedUntil [ratelimit.MaxRank + 1]atomic.Int64
 	// unreported is the number of requests sent without a permit that the grantor does not
 	// know of.
 	unreported atomic.Int64
 }
 
-// BlockedUntil returns the time before which this daemon gets no permit for an endpoint,
-// or the zero time.
-func (r *Registry) BlockedUntil(e endpoints.Entry) time.Time {
+// BlockedUntil returns the time before which this daemon gets no permit for requests of a
+// rank to an endpoint, or the zero time.
+func (r *Registry) BlockedUntil(e endpoints.Entry, rank int) time.Time {
 	k, ok := r.lookup(e)
 	if !ok {
 		return time.Time{}
 	}
-	return r.startedAt.Add(time.Duration(k.permits.blockedUntil.Load()))
+	return r.startedAt.Add(time.Duration(k.permits.blockedUntil[permitRank(rank)].Load()))
 }
 
-// Acquire reports whether a request may be sent to an endpoint now. It returns true at
-// once for an endpoint without a limit, false while BlockedUntil has not passed, and asks
-// the endpoint's grantor otherwise. request is used for the log.
-func (r *Registry) Acquire(ctx context.Context, e endpoints.Entry, request core.RequestID) bool {
+// permitRank returns the rank by which permits are granted.
+func permitRank(rank int) int { return min(max(rank, 0), ratelimit.MaxRank) }
+
+// block stops requests for permits until a time, for requests of a rank and less urgent
+// ones.
+func (s *permitState) block(rank int, until time.Duration) {
+	for i := permitRank(rank); i < len(s.blockedUntil); i++ {
+		s.blockedUntil[i].Store(max(s.blockedUntil[i].Load(), int64(until)))
+	}
+}
+
+// Acquire reports whether a request of a rank may be sent to an endpoint now. It returns
+// true at once for an endpoint without a limit, false while BlockedUntil has not passed,
+// and asks the endpoint's grantor otherwise. request is used for the log.
+func (r *Registry) Acquire(ctx context.Context, e endpoints.Entry, rank int, request core.RequestID) bool {
 	k, ok := r.lookup(e)
 	if !ok {
 		return true
 	}
-	if r.Now().Before(r.BlockedUntil(e)) {
+	if r.Now().Before(r.BlockedUntil(e, rank)) {
 		return false
 	}
-	p := Decision{Request: request, Endpoint: e, PerSecond: k.perSecond, Age: k.age(r.Now())}
-	reply, grantor, reason := r.ask(ctx, k, false)
+	p := Decision{Request: request, Rank: rank, Endpoint: e, PerSecond: k.perSecond, Age: k.age(r.Now())}
+	reply, grantor, reason := r.ask(ctx, k, rank, false)
 	p.Grantor, p.Granted, p.Reason, p.Wait = grantor, reply.Granted, reason, reply.Wait
 	if reply.Limit != nil {
 		r.mergeReport(grantor, *reply.Limit)
 	}
 	if !p.Granted {
 		p.Wait = max(p.Wait, minBlock)
-		k.permits.blockedUntil.Store(int64(r.Now().Add(p.Wait).Sub(r.startedAt)))
+		k.permits.block(rank, r.Now().Add(p.Wait).Sub(r.startedAt))
 	}
 	r.Events.PermitDecided(p)
 	return p.Granted
@@ -124,21 +138,22 @@
 // limit was known. If that fails, the next request for a permit does.
 func (r *Registry) reportUnpermitted(e endpoints.Entry) {
 	if k, ok := r.lookup(e); ok {
-		r.ask(context.Background(), k, true)
+		r.ask(context.Background(), k, 0, true)
 	}
 }
 
 // ask asks the grantor for a permit, or only reports unpermitted requests. The reason is
 // empty if the permit was granted.
-func (r *Registry) ask(ctx context.Context, k *known, reportOnly bool) (reply *Reply, grantor core.InstanceID, reason string) {
+func (r *Registry) ask(ctx context.Context, k *known, rank int, reportOnly bool) (reply *Reply, grantor core.InstanceID, reason string) {
 	g, ok := r.grantor(k.entry)
 	if !ok {
 		return &Reply{Wait: grantorRetry}, "", reasonNoGrantor
 	}
 	unreported := k.permits.unreported.Swap(0)
+	req := &Request{From: r.Self, Limit: k.report(), Unpermitted: int(unreported), ReportOnly: reportOnly, Rank: rank}
 	if g.ID == r.Self {
-		reply = r.grant(k, int(unreported), reportOnly)
-	} else if reply = r.askPeer(ctx, g, &Request{From: r.Self, Limit: k.report(), Unpermitted: int(unreported), ReportOnly: reportOnly}); reply == nil {
+		reply = r.grant(k, req)
+	} else if reply = r.askPeer(ctx, g, req); reply == nil {
 		k.permits.unreported.Add(unreported)
 		return &Reply{Wait: grantorRetry}, g.ID, reasonNoResponse
 	}
@@ -210,7 +225,7 @@
 	if g, ok := r.grantor(entry); !ok || g.ID != r.Self {
 		return &Reply{Wait: grantorRetry, Limit: inForce}
 	}
-	reply := r.grant(k, req.Unpermitted, req.ReportOnly)
+	reply := r.grant(k, req)
 	reply.Limit = inForce
 	return reply
 }
@@ -230,7 +245,7 @@
 // grant decides on a permit as the endpoint's grantor. A daemon that does not reach all
 // others grants the share of those that it reaches, so that both sides of a partition
 // together keep the limit.
-func (r *Registry) grant(k *known, unpermitted int, reportOnly bool) *Reply {
+func (r *Registry) grant(k *known, req *Request) *Reply {
 	now := r.Now()
 	reached, all := len(r.Fleet().Alive), r.DaemonCount()
 	perSecond := k.perSecond * float64(min(reached, all)) / float64(max(all, 1))
@@ -242,13 +257,13 @@
 		b = &bucket{ratelimit.NewPermitBucket(now), k.entry.StartedMs}
 		r.buckets.byEndpoint[k.entry.ID] = b
 	}
-	if unpermitted > 0 {
-		b.Charge(now, perSecond, unpermitted)
+	if req.Unpermitted > 0 {
+		b.Charge(now, perSecond, req.Unpermitted)
 	}
-	if reportOnly {
+	if req.ReportOnly {
 		return &Reply{}
 	}
-	granted, wait := b.Take(now, perSecond)
+	granted, wait := b.Take(now, perSecond, req.From, req.Rank)
 	return &Reply{Granted: granted, Wait: wait}
 }
 
--- a/internal/app/stagework/free.go
+++ b/internal/app/stagework/free.go
@@ -41,7 +41,7 @@
 // reached, it tries again when a permit may be granted.
 func (g *endpointGroup) freeResults(e *endpointState) {
 	paused := g.coordinator.now().Before(g.coordinator.pausedUntil(e.entry))
-	if !paused && !g.coordinator.limits.Acquire(g.coordinator.ctx, e.entry, "") {
+	if !paused && !g.coordinator.limits.Acquire(g.coordinator.ctx, e.entry, maxRank, "") {
 		g.retryFree(e)
 		return
 	}
@@ -79,6 +79,6 @@
 		e.handlesToFree, e.freeScheduled = nil, false
 		return
 	}
-	delay := max(g.coordinator.limits.BlockedUntil(e.entry).Sub(now), busyFreeDelay)
+	delay := max(g.coordinator.limits.BlockedUntil(e.entry, maxRank).Sub(now), busyFreeDelay)
 	time.AfterFunc(delay, func() { g.freeResults(e) })
 }
--- a/internal/app/stagework/permit.go
+++ b/internal/app/stagework/permit.go
@@ -20,12 +20,13 @@
 // requestPermit asks for a permit for the next call to an endpoint, unless that is under
 // way or not due. The queue is checked again when the answer arrives. The caller holds mu.
 func (g *endpointGroup) requestPermit(e *endpointState, now time.Time) {
-	if e.requestingPermit || now.Before(g.coordinator.limits.BlockedUntil(e.entry)) {
+	rank := g.mostUrgentRank()
+	if e.requestingPermit || now.Before(g.coordinator.limits.BlockedUntil(e.entry, rank)) {
 		return
 	}
 	e.requestingPermit = true
 	go func() {
-		granted := g.coordinator.limits.Acquire(g.coordinator.ctx, e.entry, "")
+		granted := g.coordinator.limits.Acquire(g.coordinator.ctx, e.entry, rank, "")
 		g.mu.Lock()
 		defer g.mu.Unlock()
 		e.requestingPermit = false
@@ -39,7 +40,16 @@
 // atLimit reports whether an endpoint gets no call for the moment because of its limit.
 // The caller holds mu.
 func (g *endpointGroup) atLimit(e *endpointState, now time.Time) bool {
-	return g.lacksPermit(e, now) && now.Before(g.coordinator.limits.BlockedUntil(e.entry))
+	return g.lacksPermit(e, now) && now.Before(g.coordinator.limits.BlockedUntil(e.entry, g.mostUrgentRank()))
+}
+
+// mostUrgentRank returns the rank of the most urgent waiting piece. The caller holds mu.
+func (g *endpointGroup) mostUrgentRank() int {
+	rank := maxRank
+	for _, it := range g.queue {
+		rank = min(rank, it.Rank)
+	}
+	return rank
 }
 
 // nominalRate returns the number of pieces that the usable endpoints can finish per
--- a/internal/app/stagework/ports.go
+++ b/internal/app/stagework/ports.go
@@ -114,11 +114,11 @@
 	// and the time since its last answer that said so, or ok false if it names no limit.
 	Limit(e endpoints.Entry) (perSecond float64, age time.Duration, ok bool)
 	// BlockedUntil returns the time before which this daemon gets no permit for an
-	// endpoint, or a time that is past.
-	BlockedUntil(e endpoints.Entry) time.Time
-	// Acquire reports whether an endpoint may be called now. It asks another daemon if the
-	// endpoint names a limit. The request may be empty.
-	Acquire(ctx context.Context, e endpoints.Entry, id core.RequestID) bool
+	// endpoint for work of a rank, or a time that is past.
+	BlockedUntil(e endpoints.Entry, rank int) time.Time
+	// Acquire reports whether an endpoint may be called now for work of a rank. It asks
+	// another daemon if the endpoint names a limit. The request may be empty.
+	Acquire(ctx context.Context, e endpoints.Entry, rank int, id core.RequestID) bool
 }
 
 // Endpoints calls stage endpoints. An error is a *core.Error whose Ran is RanNot only if
--- a/internal/decide/ratelimit/bucket.go
+++ b/internal/decide/ratelimit/bucket.go
@@ -1,8 +1,10 @@
 package ratelimit
 
 import (
+	"slices"
 	"time"
 
+	"eelgrassgrade/internal/core"
 	"eelgrassgrade/internal/decide/limits"
 )
 
@@ -10,8 +12,10 @@
 	// Window is the time over which an endpoint's requests are compared with its limit.
 	// Requests that were sent before the limit was known count for so long.
 	Window = 4 * time.Second
-	// burstTime is the time whose permits an idle endpoint saves up, in addition to one.
-	burstTime = 250 * time.Millisecond
+	// burstTime is the time whose permits an idle endpoint saves up, in addition to
+	// basePermits: one to grant and one to keep for a more urgent request.
+	burstTime   = 250 * time.Millisecond
+	basePermits = 2
 	// probeInterval is the time between two permits for an endpoint whose limit is zero or
 	// close to it. Only an answer can tell that the limit has ended.
 	probeInterval = 10 * time.Second
@@ -19,36 +23,113 @@
 	// permits are not left unused for long after the daemons before it in the queue needed
 	// none.
 	maxWait = 5 * time.Second
+	// returnGrace is how long after its wait a denied daemon is still expected to ask
+	// again.
+	returnGrace = 300 * time.Millisecond
+	// urgentMemory is how long after a request of a rank one permit is kept for the next.
+	urgentMemory = 2 * time.Second
+	// maxUrgentInRow is the number of permits in a row that go to more urgent requests
+	// while less urgent ones wait, which thus get a quarter of the limit or more.
+	maxUrgentInRow = 3
+	// MaxRank is the rank of the least urgent requests; 0 is the most urgent.
+	MaxRank = 9
 )
 
-// PermitBucket decides when the permits for one endpoint are granted. The permits granted
-// within any period are at most one, plus the limit times the period and burstTime. A
-// PermitBucket is not safe for concurrent use.
+// PermitBucket decides when the permits for one endpoint are granted, and to requests of
+// which rank. The permits granted within any period are at most basePermits, plus the
+// limit times the period and burstTime. A PermitBucket is not safe for concurrent use.
 type PermitBucket struct {
 	permits *limits.Bucket
-	// denials counts the requests for a permit that were denied since the last grant.
-	denials int
+	// askedAt is when a permit was last asked for, by rank.
+	askedAt [MaxRank + 1]time.Time
+	// waiting holds the daemons that were denied a permit and when they are to ask again.
+	waiting map[waiter]time.Time
+	// urgentInRow counts the permits that were granted while less urgent requests waited,
+	// since the last one to the least urgent of these.
+	urgentInRow int
+}
+
+// waiter is a daemon that has requests of a rank without a permit.
+type waiter struct {
+	daemon core.InstanceID
+	rank   int
 }
 
 // NewPermitBucket returns a bucket without permits. What another daemon granted just
 // before then cannot exceed the limit together with what this bucket grants.
 func NewPermitBucket(now time.Time) *PermitBucket {
-	return &PermitBucket{permits: limits.NewBucket(0, 0, now)}
+	return &PermitBucket{permits: limits.NewBucket(0, 0, now), waiting: map[waiter]time.Time{}}
 }
 
-// Take grants a permit for one request or returns the time after which to ask again.
-// perSecond is the limit in requests per second. Daemons that are denied one after the
-// other get different times, so that they do not all return for the same permit.
-func (b *PermitBucket) Take(now time.Time, perSecond float64) (granted bool, wait time.Duration) {
+// Take grants a daemon a permit for one request of a rank or returns the time after which
+// to ask again. perSecond is the limit in requests per second. While more urgent requests
+// come, one permit is kept for the next of them, but for the share of less urgent ones.
+// Daemons that are denied one after the other get different times, so that they do not all
+// return for the same permit.
+func (b *PermitBucket) Take(now time.Time, perSecond float64, daemon core.InstanceID, rank int) (granted bool, wait time.Duration) {
+	rank = min(max(rank, 0), MaxRank)
 	rate := b.setLimit(now, perSecond)
-	if b.permits.Tokens(now) >= 1 {
+	b.askedAt[rank] = now
+	delete(b.waiting, waiter{daemon, rank})
+	needed := b.permitsNeeded(now, rank)
+	if b.permits.Tokens(now) >= needed {
 		b.permits.Charge(now, 1)
-		b.denials = 0
+		if b.urgentInRow++; !b.lessUrgentWait(now, rank) {
+			b.urgentInRow = 0
+		}
 		return true, 0
 	}
-	wait = b.permits.TimeUntil(now, 1) + time.Duration(float64(b.denials)/rate*float64(time.Second))
-	b.denials++
-	return false, min(wait, maxWait)
+	due := b.nextDue(now.Add(b.permits.TimeUntil(now, needed)), rank, time.Duration(float64(time.Second)/rate))
+	wait = min(due.Sub(now), maxWait)
+	b.waiting[waiter{daemon, rank}] = now.Add(wait)
+	return false, wait
+}
+
+// permitsNeeded returns the number of permits that must be available for one to be
+// granted to a request of a rank.
+func (b *PermitBucket) permitsNeeded(now time.Time, rank int) float64 {
+	if b.urgentInRow >= maxUrgentInRow {
+		return 1
+	}
+	for _, at := range b.askedAt[:rank] {
+		if !at.IsZero() && now.Sub(at) < urgentMemory {
+			return basePermits
+		}
+	}
+	return 1
+}
+
+// lessUrgentWait reports whether a daemon waits with less urgent requests than those of a
+// rank. It forgets the daemons that have not asked again.
+func (b *PermitBucket) lessUrgentWait(now time.Time, rank int) bool {
+	found := false
+	for w, due := range b.waiting {
+		if now.Sub(due) > returnGrace {
+			delete(b.waiting, w)
+		} else if w.rank > rank {
+			found = true
+		}
+	}
+	return found
+}
+
+// nextDue returns the first time from due on for which no daemon waits that has requests
+// of the same rank or more urgent ones. slot is the time between two permits.
+func (b *PermitBucket) nextDue(due time.Time, rank int, slot time.Duration) time.Time {
+	var taken []time.Time
+	for w, at := range b.waiting {
+		if w.rank <= rank {
+			taken = append(taken, at)
+		}
+	}
+	slices.SortFunc(taken, time.Time.Compare)
+	for _, at := range taken {
+		if at.Sub(due) > slot/2 {
+			break
+		}
+		due = due.Add(slot)
+	}
+	return due
 }
 
 // Charge counts requests that were sent without a permit within the last Window.
@@ -61,6 +142,6 @@
 // setLimit sets the limit from now on and returns the permits per second.
 func (b *PermitBucket) setLimit(now time.Time, perSecond float64) (rate float64) {
 	rate = max(perSecond, 1/probeInterval.Seconds())
-	b.permits.SetRate(rate, 1+rate*burstTime.Seconds(), now)
+	b.permits.SetRate(rate, basePermits+rate*burstTime.Seconds(), now)
 	return rate
 }
