Do not block an endpoint after a request that ended while it asked for a permit

The line permit_denied named the limit also where the asked daemon was not the grantor.

Change: such a request decides nothing for others; the reason says that none was granted.

Result: TestAnEndedRequestBlocksNoOthers failed before ('the next request gets no permit') and passes.

--- a/internal/app/permits/fleet_test.go
+++ b/internal/app/permits/fleet_test.go
@@ -125,7 +125,7 @@
 	time.Sleep(messageDelay)
 	reply := other.registry.Load().HandlePermit(r)
 	time.Sleep(messageDelay)
-	return reply, nil
+	return reply, ctx.Err()
 }
 
 // tellOthers sends the limits that a daemon knows to the others.
@@ -495,3 +495,27 @@
 		}
 	})
 }
+
+// Guards against a request that ends while it waits for a permit and keeps other requests
+// from the endpoint.
+func TestAnEndedRequestBlocksNoOthers(t *testing.T) {
+	inFleet(t, 2, func(f *testFleet) {
+		f.limit = 100
+		f.run(3*time.Second, 5)
+		grantor, _ := f.daemons[0].registry.Load().grantor(f.entry)
+		for _, d := range f.daemons {
+			if d.member.ID == grantor.ID {
+				continue
+			}
+			r := d.registry.Load()
+			ctx, cancel := context.WithTimeout(f.t.Context(), messageDelay)
+			if r.Acquire(ctx, f.entry, 0, "r") {
+				t.Error("a permit before the grantor can have answered")
+			}
+			cancel()
+			if r.Now().Before(r.BlockedUntil(f.entry, 0)) || !r.Acquire(f.t.Context(), f.entry, 0, "r") {
+				t.Error("the next request gets no permit")
+			}
+		}
+	})
+}
--- a/internal/app/permits/permits.go
+++ b/internal/app/permits/permits.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -73,7 +72,7 @@
 
 // Reasons of a Decision against a permit that was not granted.
 const (
-	reasonLimit      = "the endpoint's limit is reached"
+	reasonDenied     = "the daemon that grants permits granted none"
 	reasonNoGrantor  = "the daemon that grants permits is not known yet"
 	reasonNoResponse = "the daemon that grants permits gave no answer"
 )
@@ -120,18 +119,23 @@
 	if r.Now().Before(r.BlockedUntil(e, rank)) {
 		return false
 	}
-	p := Decision{Request: request, Rank: rank, Endpoint: e, PerSecond: k.perSecond, Age: k.age(r.Now())}
+	age := k.age(r.Now())
 	reply, grantor, reason := r.ask(ctx, k, rank, false)
-	p.Grantor, p.Granted, p.Reason, p.Wait = grantor, reply.Granted, reason, reply.Wait
 	if reply.Limit != nil {
 		r.mergeReport(grantor, *reply.Limit)
 	}
-	if !p.Granted {
-		p.Wait = max(p.Wait, minBlock)
-		k.permits.block(rank, r.Now().Add(p.Wait).Sub(r.startedAt))
+	if !reply.Granted && ctx.Err() != nil {
+		// The request has ended meanwhile, which says nothing about the permits of others.
+		return false
+	}
+	wait := time.Duration(0)
+	if !reply.Granted {
+		wait = max(reply.Wait, minBlock)
+		k.permits.block(rank, r.Now().Add(wait).Sub(r.startedAt))
 	}
-	r.Events.PermitDecided(p)
-	return p.Granted
+	r.Events.PermitDecided(Decision{Request: request, Rank: rank, Endpoint: e, PerSecond: k.perSecond, Age: age,
+		Grantor: grantor, Granted: reply.Granted, Reason: reason, Wait: wait})
+	return reply.Granted
 }
 
 // reportUnpermitted tells an endpoint's grantor of the requests that were sent before the
@@ -158,7 +162,7 @@
 		return &Reply{Wait: grantorRetry}, g.ID, reasonNoResponse
 	}
 	if !reply.Granted {
-		reason = reasonLimit
+		reason = reasonDenied
 	}
 	return reply, g.ID, reason
 }
@@ -171,14 +175,14 @@
 	if until, ok := r.silentPeers.Load(g.Address); ok && r.Now().Before(until.(time.Time)) {
 		return nil
 	}
-	ctx, cancel := context.WithTimeout(ctx, permitTimeout)
+	callCtx, cancel := context.WithTimeout(ctx, permitTimeout)
 	defer cancel()
-	reply, err := r.Grantors.RequestPermit(ctx, g.Address, req)
+	reply, err := r.Grantors.RequestPermit(callCtx, g.Address, req)
 	switch {
 	case err == nil:
 		r.silentPeers.Delete(g.Address)
 		return reply
-	case !errors.Is(ctx.Err(), context.Canceled):
+	case ctx.Err() == nil:
 		r.silentPeers.Store(g.Address, r.Now().Add(grantorRetry))
 	}
 	return nil
