--- a/internal/app/permits/permits.go
+++ b/internal/app/permits/permits.go
@@ -148,7 +148,7 @@
 
 // ask asks the grantor for a permit, or only reports unpermitted requests. The reason is
 // empty if the permit was granted.
-func (r *Registry) ask(ctx context.Context, k *known, rank int, reportOnly bool) (reply *Reply, grantor core.InstanceID, reason string) {
+func (r *Registry) ask(ctx context.Context, k *endpointLimit, rank int, reportOnly bool) (reply *Reply, grantor core.InstanceID, reason string) {
 	g, ok := r.grantor(k.entry)
 	if !ok {
 		return &Reply{Wait: grantorRetry}, "", reasonNoGrantor
@@ -249,7 +249,7 @@
 // grant decides on a permit as the endpoint's grantor. A daemon that does not reach all
 // others grants the share of those that it reaches, so that both sides of a partition
 // together keep the limit.
-func (r *Registry) grant(k *known, req *Request) *Reply {
+func (r *Registry) grant(k *endpointLimit, req *Request) *Reply {
 	now := r.Now()
 	reached, all := len(r.Fleet().Alive), r.DaemonCount()
 	perSecond := k.perSecond * float64(min(reached, all)) / float64(max(all, 1))
--- a/internal/app/permits/registry.go
+++ b/internal/app/permits/registry.go
@@ -60,9 +60,9 @@
 	PermitDecided(d Decision)
 }
 
-// known is a limit that an incarnation of an endpoint has named, or the end of one. It is
+// endpointLimit is a limit that an incarnation of an endpoint has named, or the end of one. It is
 // replaced when the figure changes.
-type known struct {
+type endpointLimit struct {
 	entry     endpoints.Entry
 	perSecond float64
 	changedAt time.Time
@@ -71,13 +71,13 @@
 	permits permitState
 }
 
-func newKnown(entry endpoints.Entry, o ratelimit.Observation, now time.Time) *known {
-	k := &known{entry: entry, perSecond: o.PerSecond, changedAt: now}
+func newEndpointLimit(entry endpoints.Entry, o ratelimit.Observation, now time.Time) *endpointLimit {
+	k := &endpointLimit{entry: entry, perSecond: o.PerSecond, changedAt: now}
 	k.latest.Store(&o)
 	return k
 }
 
-func (k *known) limited() bool { return k.perSecond < ratelimit.Unlimited }
+func (k *endpointLimit) limited() bool { return k.perSecond < ratelimit.Unlimited }
 
 // Options of a Registry.
 type Options struct {
@@ -103,7 +103,7 @@
 	sends     sendCounts
 
 	// byEndpoint is replaced as a whole, since the path of each request reads it.
-	byEndpoint atomic.Pointer[map[core.InstanceID]*known]
+	byEndpoint atomic.Pointer[map[core.InstanceID]*endpointLimit]
 	// mu serializes changes of byEndpoint.
 	mu      sync.Mutex
 	buckets buckets
@@ -115,12 +115,12 @@
 // NewRegistry returns an empty registry.
 func NewRegistry(o Options) *Registry {
 	r := &Registry{Options: o, startedAt: o.Now(), buckets: buckets{byEndpoint: map[core.InstanceID]*bucket{}}}
-	r.byEndpoint.Store(&map[core.InstanceID]*known{})
+	r.byEndpoint.Store(&map[core.InstanceID]*endpointLimit{})
 	return r
 }
 
 // lookup returns the limit of an incarnation of an endpoint, or ok false if it names none.
-func (r *Registry) lookup(e endpoints.Entry) (k *known, ok bool) {
+func (r *Registry) lookup(e endpoints.Entry) (k *endpointLimit, ok bool) {
 	k, ok = (*r.byEndpoint.Load())[e.ID]
 	return k, ok && k.limited() && k.entry.StartedMs == e.StartedMs
 }
@@ -163,7 +163,7 @@
 		return nil, 0
 	}
 	now := r.Now()
-	sorted := slices.SortedFunc(maps.Values(current), func(a, b *known) int {
+	sorted := slices.SortedFunc(maps.Values(current), func(a, b *endpointLimit) int {
 		return cmp.Or(b.changedAt.Compare(a.changedAt), cmp.Compare(a.entry.ID, b.entry.ID))
 	})
 	for _, k := range sorted[:min(len(sorted), maxReported)] {
@@ -176,12 +176,12 @@
 }
 
 // report returns the limit as it is told to other daemons.
-func (k *known) report() fleet.EndpointLimit {
+func (k *endpointLimit) report() fleet.EndpointLimit {
 	return fleet.EndpointLimit{Endpoint: k.entry.ID, StartedMs: k.entry.StartedMs, Observation: *k.latest.Load()}
 }
 
 // age returns the time since the last answer that named the figure.
-func (k *known) age(now time.Time) time.Duration { return now.Sub(k.latest.Load().ReceivedAt) }
+func (k *endpointLimit) age(now time.Time) time.Duration { return now.Sub(k.latest.Load().ReceivedAt) }
 
 // MergeReported adds the limits that another daemon reports.
 func (r *Registry) MergeReported(from core.InstanceID, list []fleet.EndpointLimit) {
@@ -222,17 +222,17 @@
 	case merged.PerSecond == before.PerSecond:
 		k.latest.Store(&merged)
 	case kept || len(current) < maxEndpoints:
-		r.replace(newKnown(entry, merged, now), before, source)
+		r.replace(newEndpointLimit(entry, merged, now), before, source)
 	}
 }
 
 // replace puts a new figure into force. The caller holds mu.
-func (r *Registry) replace(k *known, before ratelimit.Observation, source core.InstanceID) {
+func (r *Registry) replace(k *endpointLimit, before ratelimit.Observation, source core.InstanceID) {
 	now := k.changedAt
 	next := maps.Clone(*r.byEndpoint.Load())
 	next[k.entry.ID] = k
 	listed := r.View().ByID
-	maps.DeleteFunc(next, func(id core.InstanceID, k *known) bool {
+	maps.DeleteFunc(next, func(id core.InstanceID, k *endpointLimit) bool {
 		_, ok := listed[id]
 		return (!ok || !k.limited()) && k.age(now) > forgetAfter
 	})
