Charge a limit for one second of the requests before it, in place of four

Cause: what daemons sent in the four seconds before a limit was known was charged to it, up to four seconds of the limit. A pool whose endpoints all begin to name limits then serves nothing for more than four seconds: the first permit at a limit of 2 a second came after 4.5 s (TestEarlierRequestsCountForOneWindow).

Change: one second is counted and charged.

After: the first permit comes after 1.5 s. With 8 daemons, 2.8 requests a second before and a limit of 1, no window from 3 s after it began holds more than the 11 that are allowed, earlier arrivals counted in (TestTrafficBeforeTheLimitCounts); the endpoint gets 2 to 4 requests from 1 to 4 s, where it got 2 at most.

--- a/internal/app/permits/permits.go
+++ b/internal/app/permits/permits.go
@@ -29,8 +29,8 @@
 	From core.InstanceID
 	// Limit is the endpoint's limit as the sender knows it.
 	Limit fleet.EndpointLimit
-	// Unpermitted is the number of requests that the sender sent within ratelimit.Window
-	// before it knew of the limit.
+	// Unpermitted is the number of requests that the sender sent within
+	// ratelimit.ChargedTime before it knew of the limit.
 	Unpermitted int
 	// ReportOnly says that the sender wants no permit and only reports Unpermitted.
 	ReportOnly bool
--- a/internal/app/permits/sends.go
+++ b/internal/app/permits/sends.go
@@ -9,7 +9,7 @@
 )
 
 // sendCounts counts the requests that this daemon has sent to each endpoint within
-// ratelimit.Window, in steps of a second.
+// ratelimit.ChargedTime, in steps of a second.
 type sendCounts struct {
 	mu         sync.Mutex
 	byEndpoint map[core.InstanceID]*secondCounts
@@ -17,7 +17,7 @@
 
 // secondCounts holds the requests of the last seconds, by second modulo its length.
 type secondCounts struct {
-	requests [int(ratelimit.Window/time.Second) + 1]int
+	requests [int(ratelimit.ChargedTime/time.Second) + 1]int
 	// last is the last second in which a request was counted. Seconds count from the start
 	// of the daemon, since the time of day may jump.
 	last int64
--- a/internal/decide/ratelimit/bucket.go
+++ b/internal/decide/ratelimit/bucket.go
@@ -10,8 +10,11 @@
 
 const (
 	// Window is the time over which an endpoint's requests are compared with its limit.
-	// Requests that were sent before the limit was known count for so long.
 	Window = 4 * time.Second
+	// ChargedTime is the time before a limit was known whose requests count against it, and
+	// the longest time for which no permit is granted because of them. With a longer one, a
+	// pool whose endpoints all name limits at once would serve nothing for that long.
+	ChargedTime = time.Second
 	// burstTime is the time whose permits an idle endpoint saves up, in addition to
 	// basePermits: one to grant and one to keep for a more urgent request.
 	burstTime   = 250 * time.Millisecond
@@ -132,11 +135,11 @@
 	return due
 }
 
-// Charge counts requests that were sent without a permit within the last Window.
+// Charge counts requests that were sent without a permit within the last ChargedTime.
 func (b *PermitBucket) Charge(now time.Time, perSecond float64, requests int) {
 	rate := b.setLimit(now, perSecond)
-	excess := b.permits.Tokens(now) + rate*Window.Seconds()
-	b.permits.Charge(now, min(float64(requests), max(excess, 0)))
+	most := b.permits.Tokens(now) + rate*ChargedTime.Seconds()
+	b.permits.Charge(now, min(float64(requests), max(most, 0)))
 }
 
 // setLimit sets the limit from now on and returns the permits per second.
