Grant no permits for the part of a limit that earlier versions use

Cause: daemons of the previous version send without permits, and the new ones granted the whole limit beside them.

Change: they count as not reached, so one of four leaves three quarters of the limit to permits.

--- a/internal/app/permits/fleet_test.go
+++ b/internal/app/permits/fleet_test.go
@@ -415,7 +415,7 @@
 }
 
 // Guards against a daemon of an earlier version, which grants no permits, that is asked
-// for them.
+// for them, and against permits for its part of the limit, which it uses without any.
 func TestEarlierVersionsGrantNoPermits(t *testing.T) {
 	inFleet(t, 4, func(f *testFleet) {
 		f.limit = 5
@@ -429,8 +429,8 @@
 		began := time.Now()
 		f.run(15*time.Second, 5)
 		f.checkBound(began, 5)
-		if n := f.arrivalsBetween(began.Add(3*time.Second), began.Add(15*time.Second)); n < 40 {
-			t.Errorf("%d requests in 12 s at a limit of 5 a second", n)
+		if n := f.arrivalsBetween(began.Add(3*time.Second), began.Add(15*time.Second)); n < 40 || n > 47 {
+			t.Errorf("%d requests in 12 s, want the 45 of three of four daemons at a limit of 5 a second", n)
 		}
 	})
 }
--- a/internal/app/permits/permits.go
+++ b/internal/app/permits/permits.go
@@ -248,11 +248,18 @@
 
 // grant decides on a permit as the endpoint's grantor. A daemon that does not reach all
 // others grants the share of those that it reaches, so that both sides of a partition
-// together keep the limit.
+// together keep the limit. Daemons of earlier versions, which send without permits, count
+// as not reached.
 func (r *Registry) grant(k *endpointLimit, req *Request) *Reply {
 	now := r.Now()
-	reached, all := len(r.Fleet().Alive), r.DaemonCount()
-	perSecond := k.perSecond * float64(min(reached, all)) / float64(max(all, 1))
+	reached := 0
+	for _, m := range r.Fleet().Alive {
+		if m.GrantsPermits {
+			reached++
+		}
+	}
+	all := max(r.DaemonCount(), 1)
+	perSecond := k.perSecond * float64(min(reached, all)) / float64(all)
 	r.buckets.mu.Lock()
 	defer r.buckets.mu.Unlock()
 	b := r.buckets.byEndpoint[k.entry.ID]
