Log what the retry budget decided on

Change: request_again and stage_again carry the daemon's repeats and requests in its window, the limit, the number of daemons and the age of its counts. A failed answer that is not tried again because of the budget now has its line too. No decision changes.

--- a/internal/adapter/fleetrpc/fleetrpc_test.go
+++ b/internal/adapter/fleetrpc/fleetrpc_test.go
@@ -20,6 +20,7 @@
 	"eelgrassgrade/internal/core"
 	"eelgrassgrade/internal/decide/catalog"
 	"eelgrassgrade/internal/decide/ratelimit"
+	"eelgrassgrade/internal/decide/repeats"
 )
 
 // fakePorts implements the ports that a daemon needs. Its endpoints do every piece.
@@ -30,12 +31,14 @@
 func (fakePorts) CallStarted(core.PoolID, core.InstanceID, []stagework.Piece, int, float64)        {}
 func (fakePorts) CallEnded(core.PoolID, core.InstanceID, int, time.Duration, time.Duration, error) {}
 func (fakePorts) TaskEnded(*stagework.Task, string, time.Duration, error)                          {}
-func (fakePorts) PieceRepeated(*stagework.Task, string, bool)                                      {}
+func (fakePorts) PieceRepeated(*stagework.Task, string, bool, *repeats.Decision)                   {}
 func (fakePorts) EndpointHealth(core.PoolID, core.InstanceID, bool, string)                        {}
 func (fakePorts) RecordRequests(core.PoolID, int)                                                  {}
-func (fakePorts) Take(core.PoolID, int) bool                                                       { return true }
-func (fakePorts) TakeOptional(core.PoolID, int) bool                                               { return true }
-func (fakePorts) FreeResults(context.Context, core.Endpoint, []string) error                       { return nil }
+func (fakePorts) Take(core.PoolID, int) repeats.Decision                                           { return repeats.Decision{Allowed: true} }
+func (fakePorts) TakeOptional(core.PoolID, int) repeats.Decision {
+	return repeats.Decision{Allowed: true}
+}
+func (fakePorts) FreeResults(context.Context, core.Endpoint, []string) error { return nil }
 
 func (fakePorts) Limit(endpoints.Entry) (float64, time.Duration, bool)               { return 0, 0, false }
 func (fakePorts) BlockedUntil(endpoints.Entry, int) time.Time                        { return time.Time{} }
--- a/internal/adapter/telemetry/hosted.go
+++ b/internal/adapter/telemetry/hosted.go
@@ -16,6 +16,7 @@
 	"eelgrassgrade/internal/app/mirror"
 	"eelgrassgrade/internal/app/stagework"
 	"eelgrassgrade/internal/core"
+	"eelgrassgrade/internal/decide/repeats"
 )
 
 var (
@@ -111,9 +112,9 @@
 }
 
 // RetryDecided implements forward.Events.
-func (h *HostedRecorder) RetryDecided(r *forward.Request, pool core.PoolID, reason string, allowed bool, err *core.Error) {
+func (h *HostedRecorder) RetryDecided(r *forward.Request, pool core.PoolID, reason string, allowed bool, budget *repeats.Decision, err *core.Error) {
 	h.set.GetOrCreateCounter(fmt.Sprintf(`eelgrass_repeats_total{pool=%q,reason=%q,allowed="%t"}`, pool, reason, allowed)).Inc()
-	h.log.Info().Str("request", string(r.ID)).Str("pool", string(pool)).Str("reason", reason).Bool("allowed", allowed).
+	addBudget(h.log.Info(), budget).Str("request", string(r.ID)).Str("pool", string(pool)).Str("reason", reason).Bool("allowed", allowed).
 		Str("step", err.Step).Str("peer", err.Peer).Stringer("ran", err.Ran).Str("detail", err.Detail).AnErr("cause", err.Err).Msg("request_again")
 }
 
@@ -213,9 +214,18 @@
 }
 
 // PieceRepeated implements stagework.Events.
-func (h *HostedRecorder) PieceRepeated(t *stagework.Task, reason string, allowed bool) {
+func (h *HostedRecorder) PieceRepeated(t *stagework.Task, reason string, allowed bool, budget *repeats.Decision) {
 	h.set.GetOrCreateCounter(fmt.Sprintf(`eelgrass_repeats_total{pool=%q,reason=%q,allowed="%t"}`, t.Pool, reason, allowed)).Inc()
-	h.log.Info().Str("request", string(t.Request)).Str("pool", string(t.Pool)).Int("stage", t.Stage).Str("reason", reason).Bool("allowed", allowed).Msg("stage_again")
+	addBudget(h.log.Info(), budget).Str("request", string(t.Request)).Str("pool", string(t.Pool)).Int("stage", t.Stage).Str("reason", reason).Bool("allowed", allowed).Msg("stage_again")
+}
+
+// addBudget adds what a retry budget decided on to a line, unless it is nil.
+func addBudget(line *zerolog.Event, d *repeats.Decision) *zerolog.Event {
+	if d == nil {
+		return line
+	}
+	return line.Float64("budget_repeats", d.Repeats).Float64("budget_requests", d.Requests).Float64("budget_limit", d.Limit).
+		Int("budget_daemons", d.Daemons).Int64("budget_age_ms", d.Age.Milliseconds())
 }
 
 // StoreLost implements mirror.Events.
--- a/internal/app/forward/attempt.go
+++ b/internal/app/forward/attempt.go
@@ -12,6 +12,7 @@
 	"eelgrassgrade/internal/decide/catalog"
 	"eelgrassgrade/internal/decide/health"
 	"eelgrassgrade/internal/decide/placement"
+	"eelgrassgrade/internal/decide/repeats"
 )
 
 const (
@@ -142,11 +143,17 @@
 // one. possibleRuns is the number of endpoints that may have run it.
 func (f *Forwarder) mayRetry(rs *requestState, err *core.Error, possibleRuns int) bool {
 	reason, allowed := "not run", true
+	var budget *repeats.Decision
+	takeRetry := func() bool {
+		d := f.budget.Take(rs.pool, 1)
+		budget = &d
+		return d.Allowed
+	}
 	switch {
 	case err.Ran == core.RanNot && err.Kind == core.Unavailable && err.Step == "connect":
 		reason = "no connection"
 	case err.Ran == core.RanNot:
-		allowed = f.budget.Take(rs.pool, 1)
+		allowed = takeRetry()
 	case rs.route.Repeat == catalog.Once:
 		reason, allowed = "may have run and may not run twice", false
 	case rs.answerStarted && rs.route.Repeat != catalog.Resumable:
@@ -156,9 +163,9 @@
 	case f.suspects.crashCount(rs.fingerprint) >= quarantineThreshold:
 		reason, allowed = "crashes endpoints", false
 	default:
-		reason, allowed = "failed and may run again", f.budget.Take(rs.pool, 1)
+		reason, allowed = "failed and may run again", takeRetry()
 	}
-	f.events.RetryDecided(rs.req, rs.pool, reason, allowed, err)
+	f.events.RetryDecided(rs.req, rs.pool, reason, allowed, budget, err)
 	return allowed
 }
 
@@ -245,10 +252,13 @@
 	if len(body) > maxBufferedAnswerBytes {
 		return nil
 	}
-	if !ok && rs.route.Repeat == catalog.Repeatable && rs.outcome.Attempts < rs.route.Attempts && f.now().Add(minRemaining).Before(rs.deadline) && f.budget.Take(rs.pool, 1) {
+	if !ok && rs.route.Repeat == catalog.Repeatable && rs.outcome.Attempts < rs.route.Attempts && f.now().Add(minRemaining).Before(rs.deadline) {
 		failure := &core.Error{Kind: core.Upstream, Step: "answer", Peer: string(e.ID), Ran: core.RanYes, Detail: "the endpoint answered with a server error: status " + strconv.Itoa(a.Status)}
-		f.events.RetryDecided(rs.req, rs.pool, "failed and may run again", true, failure)
-		return f.retryFailedAnswer(ctx, rs, w, a, body)
+		budget := f.budget.Take(rs.pool, 1)
+		f.events.RetryDecided(rs.req, rs.pool, "failed and may run again", budget.Allowed, &budget, failure)
+		if budget.Allowed {
+			return f.retryFailedAnswer(ctx, rs, w, a, body)
+		}
 	}
 	if ok {
 		f.suspects.recordSuccess(rs.fingerprint)
--- a/internal/app/forward/fake_test.go
+++ b/internal/app/forward/fake_test.go
@@ -17,6 +17,7 @@
 	"eelgrassgrade/internal/app/stagework"
 	"eelgrassgrade/internal/core"
 	"eelgrassgrade/internal/decide/catalog"
+	"eelgrassgrade/internal/decide/repeats"
 )
 
 // endpointBehavior is what a fake endpoint does with a request.
@@ -146,7 +147,9 @@
 }
 
 func (p *fakePlatform) RecordRequests(core.PoolID, int) {}
-func (p *fakePlatform) Take(core.PoolID, int) bool      { return p.retriesAllowed }
+func (p *fakePlatform) Take(core.PoolID, int) repeats.Decision {
+	return repeats.Decision{Allowed: p.retriesAllowed}
+}
 
 func (p *fakePlatform) Reachable(context.Context, core.Endpoint) bool {
 	return !p.unreachable
@@ -237,10 +240,11 @@
 type discardEvents struct{}
 
 func (discardEvents) RequestSent(*Request, core.PoolID, Choice, int, time.Duration) {}
-func (discardEvents) RetryDecided(*Request, core.PoolID, string, bool, *core.Error) {}
-func (discardEvents) RequestEnded(*Outcome)                                         {}
-func (discardEvents) EndpointHealth(core.PoolID, core.InstanceID, bool, string)     {}
-func (discardEvents) RequestQuarantined(*Request, int)                              {}
+func (discardEvents) RetryDecided(*Request, core.PoolID, string, bool, *repeats.Decision, *core.Error) {
+}
+func (discardEvents) RequestEnded(*Outcome)                                     {}
+func (discardEvents) EndpointHealth(core.PoolID, core.InstanceID, bool, string) {}
+func (discardEvents) RequestQuarantined(*Request, int)                          {}
 
 // callerAnswer is what a caller got, with the results of Forwarder.Serve.
 type callerAnswer struct {
--- a/internal/app/forward/forward.go
+++ b/internal/app/forward/forward.go
@@ -268,7 +268,7 @@
 	if e := core.AsError(err, "stage"); err != nil && rs.stageRuns == 1 && e.Kind == core.Conflict {
 		// An endpoint has lost a result that a later stage needs.
 		enoughTime := f.now().Add(rs.plan.expectedTime - rs.plan.firstEventTime).Before(rs.stagesDeadline)
-		f.events.RetryDecided(rs.req, rs.pool, "results of stages are gone", enoughTime, e)
+		f.events.RetryDecided(rs.req, rs.pool, "results of stages are gone", enoughTime, nil, e)
 		if enoughTime {
 			rs.stageRuns++
 			results, err = f.runStages(ctx, rs)
--- a/internal/app/forward/ports.go
+++ b/internal/app/forward/ports.go
@@ -16,6 +16,7 @@
 	"eelgrassgrade/internal/core"
 	"eelgrassgrade/internal/decide/catalog"
 	"eelgrassgrade/internal/decide/placement"
+	"eelgrassgrade/internal/decide/repeats"
 )
 
 // Request is one request as received from a caller. A caller that tries again
@@ -110,8 +111,8 @@
 type Budget interface {
 	// RecordRequests counts n first calls, which add to the budget.
 	RecordRequests(pool core.PoolID, n int)
-	// Take takes n retries from the budget and reports whether it allowed them.
-	Take(pool core.PoolID, n int) bool
+	// Take takes n retries from the budget if it allows them.
+	Take(pool core.PoolID, n int) repeats.Decision
 }
 
 // Limits keeps the limits that endpoints name in their answers, and gets the permits to
@@ -189,8 +190,9 @@
 	// the time until its deadline.
 	RequestSent(r *Request, pool core.PoolID, c Choice, attempt int, remaining time.Duration)
 	// RetryDecided reports whether a request that failed with err may be tried again,
-	// and for which reason.
-	RetryDecided(r *Request, pool core.PoolID, reason string, allowed bool, err *core.Error)
+	// and for which reason. budget is the decision of the retry budget, or nil if it was
+	// not asked.
+	RetryDecided(r *Request, pool core.PoolID, reason string, allowed bool, budget *repeats.Decision, err *core.Error)
 	RequestEnded(o *Outcome)
 	// EndpointHealth reports that an endpoint changed its phase. ejected is false if it
 	// serves again, and true while it is ejected or probed.
--- a/internal/app/stagework/call.go
+++ b/internal/app/stagework/call.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"eelgrassgrade/internal/core"
+	"eelgrassgrade/internal/decide/repeats"
 )
 
 // call is one call to an endpoint that is in progress.
@@ -178,9 +179,9 @@
 		if it.finished || it.queued || it.task.ended || it.runningCalls != 1 || it.task.inputsFreed {
 			continue
 		}
-		allowed := g.coordinator.budget.TakeOptional(g.poolID, 1)
-		g.coordinator.events.PieceRepeated(it.task.Task, "call takes too long", allowed)
-		if allowed {
+		budget := g.coordinator.budget.TakeOptional(g.poolID, 1)
+		g.coordinator.events.PieceRepeated(it.task.Task, "call takes too long", budget.Allowed, &budget)
+		if budget.Allowed {
 			it.queued = true
 			g.queue = append(g.queue, it)
 		}
@@ -217,8 +218,13 @@
 		g.endTask(it.task, &core.Error{Kind: core.Conflict, Step: "stage", Peer: cause.Peer, Ran: core.RanNot, Detail: "the call failed and cannot be retried, since its inputs were already freed: " + cause.Detail, Err: cause})
 		return
 	}
-	allowed := it.failures < maxFailures && (notRun || g.coordinator.budget.Take(g.poolID, 1))
-	g.coordinator.events.PieceRepeated(it.task.Task, reason, allowed)
+	allowed := it.failures < maxFailures
+	var budget *repeats.Decision
+	if allowed && !notRun {
+		d := g.coordinator.budget.Take(g.poolID, 1)
+		allowed, budget = d.Allowed, &d
+	}
+	g.coordinator.events.PieceRepeated(it.task.Task, reason, allowed, budget)
 	if allowed {
 		it.queued = true
 		g.queue = append(g.queue, it)
--- a/internal/app/stagework/client.go
+++ b/internal/app/stagework/client.go
@@ -182,7 +182,7 @@
 			c.events.TaskEnded(t, string(m.ID), c.now().Sub(began), err)
 			return results, err
 		}
-		c.events.PieceRepeated(t, "coordinator "+string(m.ID)+" lost", true)
+		c.events.PieceRepeated(t, "coordinator "+string(m.ID)+" lost", true, nil)
 		t.MayHaveRun = t.MayHaveRun || t.Started()
 	}
 	if err == nil {
--- a/internal/app/stagework/group.go
+++ b/internal/app/stagework/group.go
@@ -115,12 +115,12 @@
 	task := &taskState{Task: t, remainingPieces: t.Pieces, unfetchedPieces: t.Pieces, results: make([]Result, t.Pieces), done: make(chan struct{})}
 	g.coordinator.budget.RecordRequests(t.Pool, 1)
 	if t.MayHaveRun {
-		if !g.coordinator.budget.Take(t.Pool, t.Pieces) {
+		budget := g.coordinator.budget.Take(t.Pool, t.Pieces)
+		g.coordinator.events.PieceRepeated(t, "the task may have run before", budget.Allowed, &budget)
+		if !budget.Allowed {
 			g.mu.Unlock()
-			g.coordinator.events.PieceRepeated(t, "the task may have run before", false)
 			return nil, &core.Error{Kind: core.Unavailable, Step: "stage", Ran: core.RanNot, RetryAfter: time.Second, Detail: "the retry budget of pool " + string(t.Pool) + " is spent"}
 		}
-		g.coordinator.events.PieceRepeated(t, "the task may have run before", true)
 	}
 	g.taskCount++
 	now := g.coordinator.now()
--- a/internal/app/stagework/ports.go
+++ b/internal/app/stagework/ports.go
@@ -11,6 +11,7 @@
 
 	"eelgrassgrade/internal/app/endpoints"
 	"eelgrassgrade/internal/core"
+	"eelgrassgrade/internal/decide/repeats"
 )
 
 // Task consists of all pieces of one stage of one request.
@@ -150,8 +151,9 @@
 	// coordinator is the daemon that ran the task, or empty if none did.
 	TaskEnded(t *Task, coordinator string, took time.Duration, err error)
 	// PieceRepeated is called when a piece or a whole task should run again, for the given
-	// reason. allowed is false if the retry limits forbid it.
-	PieceRepeated(t *Task, reason string, allowed bool)
+	// reason. allowed is false if the retry limits forbid it. budget is the decision of the
+	// retry budget, or nil if it was not asked.
+	PieceRepeated(t *Task, reason string, allowed bool, budget *repeats.Decision)
 	// EndpointHealth is called when an endpoint is ejected, or recovers after an ejection.
 	EndpointHealth(pool core.PoolID, e core.InstanceID, ejected bool, reason string)
 }
@@ -160,9 +162,9 @@
 type Budget interface {
 	// RecordRequests counts n new requests, which add to the budget.
 	RecordRequests(pool core.PoolID, n int)
-	// Take takes n repeats from the budget and reports whether it allows them.
-	Take(pool core.PoolID, n int) bool
+	// Take takes n repeats from the budget if it allows them.
+	Take(pool core.PoolID, n int) repeats.Decision
 	// TakeOptional is Take for optional repeats, without which no request fails. They
 	// leave a part of the budget to the others.
-	TakeOptional(pool core.PoolID, n int) bool
+	TakeOptional(pool core.PoolID, n int) repeats.Decision
 }
--- a/internal/app/stagework/sim_test.go
+++ b/internal/app/stagework/sim_test.go
@@ -12,6 +12,7 @@
 	"eelgrassgrade/internal/app/endpoints"
 	"eelgrassgrade/internal/core"
 	"eelgrassgrade/internal/decide/catalog"
+	"eelgrassgrade/internal/decide/repeats"
 )
 
 const testPool = core.PoolID("encode")
@@ -208,7 +209,7 @@
 func (noEvents) CallStarted(core.PoolID, core.InstanceID, []Piece, int, float64)                  {}
 func (noEvents) CallEnded(core.PoolID, core.InstanceID, int, time.Duration, time.Duration, error) {}
 func (noEvents) TaskEnded(*Task, string, time.Duration, error)                                    {}
-func (noEvents) PieceRepeated(*Task, string, bool)                                                {}
+func (noEvents) PieceRepeated(*Task, string, bool, *repeats.Decision)                             {}
 func (noEvents) EndpointHealth(core.PoolID, core.InstanceID, bool, string)                        {}
 
 // fakeBudget is a Budget with a fixed number of repeats, of which optional may be used by
@@ -218,11 +219,11 @@
 	remaining, optional int
 }
 
-func (b *fakeBudget) TakeOptional(id core.PoolID, n int) bool {
+func (b *fakeBudget) TakeOptional(id core.PoolID, n int) repeats.Decision {
 	b.mu.Lock()
 	if n > b.optional {
 		b.mu.Unlock()
-		return false
+		return repeats.Decision{}
 	}
 	b.optional -= n
 	b.mu.Unlock()
@@ -230,14 +231,14 @@
 }
 
 func (b *fakeBudget) RecordRequests(core.PoolID, int) {}
-func (b *fakeBudget) Take(_ core.PoolID, n int) bool {
+func (b *fakeBudget) Take(_ core.PoolID, n int) repeats.Decision {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if n > b.remaining {
-		return false
+		return repeats.Decision{}
 	}
 	b.remaining -= n
-	return true
+	return repeats.Decision{Allowed: true}
 }
 
 // withCoordinator runs f in virtual time with a coordinator of n fake endpoints.
--- a/internal/decide/repeats/clock_test.go
+++ b/internal/decide/repeats/clock_test.go
@@ -30,7 +30,7 @@
 			if i == 20 {
 				now = stepped(now, step)
 			}
-			if b.Take(now, 1, 1) {
+			if b.Take(now, 1, 1).Allowed {
 				taken++
 			}
 		}
@@ -38,7 +38,7 @@
 			t.Errorf("%d repeats allowed around a clock step of %v, want 6", taken, step)
 		}
 		now = now.Add(20 * time.Second)
-		if !b.Take(now, 1, 1) {
+		if !b.Take(now, 1, 1).Allowed {
 			t.Errorf("no repeat is allowed 20 s after a clock step of %v", step)
 		}
 	}
--- a/internal/decide/repeats/repeats.go
+++ b/internal/decide/repeats/repeats.go
@@ -27,6 +27,20 @@
 	Window         time.Duration
 }
 
+// Decision says whether repeats are allowed, and from which counts that follows.
+type Decision struct {
+	Allowed bool
+	// Requests and Repeats are this daemon's counts in its window, without the repeats
+	// that were asked for.
+	Requests, Repeats float64
+	// Limit is the number of repeats that this daemon may have in its window.
+	Limit float64
+	// Daemons is the number of daemons by which the fixed allowance was divided.
+	Daemons int
+	// Age is the time since the first call that was counted.
+	Age time.Duration
+}
+
 // Budget is one daemon's part of the bound for one pool. It is not safe for
 // concurrent use.
 type Budget struct {
@@ -66,28 +80,28 @@
 // RecordRequests counts the first calls of n requests.
 func (b *Budget) RecordRequests(now time.Time, n int) { b.requests[b.advance(now)] += float64(n) }
 
-// Take uses n repeats of the budget and returns true if this daemon's part of the bound
-// allows them. daemons is the number of daemons that share the fixed allowance.
-func (b *Budget) Take(now time.Time, n, daemons int) bool {
+// Take uses n repeats of the budget if this daemon's part of the bound allows them.
+// daemons is the number of daemons that share the fixed allowance.
+func (b *Budget) Take(now time.Time, n, daemons int) Decision {
 	return b.take(now, n, daemons, safetyFactor)
 }
 
 // TakeOptional is Take for optional repeats, without which no request fails, for example
 // when a call is only slow. They leave half of the budget to the others.
-func (b *Budget) TakeOptional(now time.Time, n, daemons int) bool {
+func (b *Budget) TakeOptional(now time.Time, n, daemons int) Decision {
 	return b.take(now, n, daemons, safetyFactor*optionalShare)
 }
 
-func (b *Budget) take(now time.Time, n, daemons int, share float64) bool {
+func (b *Budget) take(now time.Time, n, daemons int, share float64) Decision {
 	i := b.advance(now)
-	var requests, repeats float64
+	d := Decision{Daemons: max(daemons, 1), Age: now.Sub(b.start)}
 	for k := range numSlots {
-		requests += b.requests[k]
-		repeats += b.repeats[k]
+		d.Requests += b.requests[k]
+		d.Repeats += b.repeats[k]
 	}
-	if repeats+float64(n) > share*(b.limits.FixedAllowance/float64(max(daemons, 1))+b.limits.Ratio*requests) {
-		return false
+	d.Limit = share * (b.limits.FixedAllowance/float64(d.Daemons) + b.limits.Ratio*d.Requests)
+	if d.Allowed = d.Repeats+float64(n) <= d.Limit; d.Allowed {
+		b.repeats[i] += float64(n)
 	}
-	b.repeats[i] += float64(n)
-	return true
+	return d
 }
--- a/internal/decide/repeats/repeats_test.go
+++ b/internal/decide/repeats/repeats_test.go
@@ -29,7 +29,7 @@
 			e := event{at: now, requests: rapid.IntRange(0, 20).Draw(t, "requests")}
 			b.RecordRequests(now, e.requests)
 			for range rapid.IntRange(0, 20).Draw(t, "failures") {
-				if b.Take(now, 1, n) {
+				if b.Take(now, 1, n).Allowed {
 					e.repeats++
 				}
 			}
@@ -60,14 +60,14 @@
 func TestTheBudgetRecovers(t *testing.T) {
 	b, now := New(Limits{FixedAllowance: 10, Window: 10 * time.Second}), time.Unix(1000, 0)
 	taken := 0
-	for b.Take(now, 1, 1) {
+	for b.Take(now, 1, 1).Allowed {
 		taken++
 	}
 	if taken == 0 {
 		t.Fatal("no repeat is allowed")
 	}
 	now = now.Add(12 * time.Second)
-	if !b.Take(now, 1, 1) {
+	if !b.Take(now, 1, 1).Allowed {
 		t.Error("no repeat is allowed after a window")
 	}
 }
@@ -78,10 +78,10 @@
 	now := time.Unix(1000, 0)
 	b := New(Limits{FixedAllowance: 100, Window: 10 * time.Second})
 	optional, needed := 0, 0
-	for b.TakeOptional(now, 1, 1) {
+	for b.TakeOptional(now, 1, 1).Allowed {
 		optional++
 	}
-	for b.Take(now, 1, 1) {
+	for b.Take(now, 1, 1).Allowed {
 		needed++
 	}
 	if optional != 30 || needed != 30 {
--- a/internal/edge/shared.go
+++ b/internal/edge/shared.go
@@ -46,7 +46,7 @@
 }
 
 // Take implements forward.Budget and stagework.Budget.
-func (b *repeatBudgets) Take(id core.PoolID, n int) bool {
+func (b *repeatBudgets) Take(id core.PoolID, n int) repeats.Decision {
 	daemons := b.daemonCount()
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -54,7 +54,7 @@
 }
 
 // TakeOptional implements stagework.Budget.
-func (b *repeatBudgets) TakeOptional(id core.PoolID, n int) bool {
+func (b *repeatBudgets) TakeOptional(id core.PoolID, n int) repeats.Decision {
 	daemons := b.daemonCount()
 	b.mu.Lock()
 	defer b.mu.Unlock()
--- a/internal/edge/shared_test.go
+++ b/internal/edge/shared_test.go
@@ -37,7 +37,7 @@
 	limits := repeats.Limits{FixedAllowance: 80, Window: 10 * time.Second}
 	count := func(daemons int) int {
 		b, n := newRepeatBudgets(limits, func() int { return daemons }), 0
-		for b.Take("p", 1) {
+		for b.Take("p", 1).Allowed {
 			n++
 		}
 		return n
