--- /dev/null
+++ b/internal/decide/repeats/restart_test.go
@@ -0,0 +1,125 @@
+package repeats
+
+import (
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+// daemon is one daemon of a simulated fleet, in its present run.
+type daemon struct {
+	budget    *Budget
+	startedAt time.Time
+	// stopping daemons still serve, but the others do not count them as alive.
+	stopping bool
+}
+
+// simulatedFleet records the requests and repeats of a pool over all daemons.
+type simulatedFleet struct {
+	limits            Limits
+	now               time.Time
+	daemons           []*daemon
+	requests, repeats []event
+}
+
+type event struct {
+	at time.Time
+	n  int
+}
+
+func (f *simulatedFleet) start() *daemon {
+	return &daemon{budget: New(f.limits), startedAt: f.now}
+}
+
+// knownDaemons returns the number of daemons that one of them knows of.
+func (f *simulatedFleet) knownDaemons(d *daemon) int {
+	if f.now.Sub(d.startedAt) < time.Second {
+		return 1
+	}
+	n := 0
+	for _, other := range f.daemons {
+		if other == d || !other.stopping {
+			n++
+		}
+	}
+	return n
+}
+
+// serve lets a daemon get some requests and send as many repeats as it may, up to wanted.
+func (f *simulatedFleet) serve(d *daemon, requests, wanted int) {
+	d.budget.RecordRequests(f.now, requests)
+	f.requests = append(f.requests, event{f.now, requests})
+	e := event{at: f.now}
+	for e.n < wanted && d.budget.Take(f.now, 1, f.knownDaemons(d)).Allowed {
+		e.n++
+	}
+	f.repeats = append(f.repeats, e)
+}
+
+// excess returns by how much the repeats of the window that ends now exceed the bound.
+func (f *simulatedFleet) excess() float64 {
+	count := func(events []event, begin time.Duration) (n int) {
+		for _, e := range events {
+			if age := f.now.Sub(e.at); age >= begin && age < begin+f.limits.Window {
+				n += e.n
+			}
+		}
+		return n
+	}
+	requests := 0
+	for _, begin := range []time.Duration{0, f.limits.Window / 2, f.limits.Window} {
+		requests = max(requests, count(f.requests, begin))
+	}
+	return float64(count(f.repeats, 0)) - f.limits.Ratio*float64(requests) - f.limits.FixedAllowance
+}
+
+// Guards against more repeats than the bound over all daemons while daemons are killed,
+// stopped and started again and while callers move between daemons: a process starts
+// with unused counts, does not know the others yet, and stopping daemons serve on
+// without being counted by the others.
+func TestTheBoundHoldsWhileDaemonsRestart(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		f := &simulatedFleet{now: time.Unix(1000, 0), limits: Limits{Ratio: 0.2, Window: 10 * time.Second,
+			FixedAllowance: float64(rapid.IntRange(0, 60).Draw(t, "allowance"))}}
+		n := rapid.IntRange(1, 12).Draw(t, "daemons")
+		for range n {
+			f.daemons = append(f.daemons, f.start())
+		}
+		f.now = f.now.Add(time.Minute)
+		for range rapid.IntRange(1, 60).Draw(t, "steps") {
+			f.now = f.now.Add(time.Duration(rapid.IntRange(0, 1500).Draw(t, "ms")) * time.Millisecond)
+			d := f.daemons[rapid.IntRange(0, n-1).Draw(t, "daemon")]
+			switch rapid.IntRange(0, 5).Draw(t, "step") {
+			case 0:
+				*d = *f.start()
+			case 1:
+				d.stopping = true
+			default:
+				f.serve(d, rapid.IntRange(0, 60).Draw(t, "requests"), rapid.IntRange(0, 60).Draw(t, "wanted"))
+			}
+			if x := f.excess(); x > 0 {
+				t.Fatalf("%.1f repeats too many", x)
+			}
+		}
+	})
+}
+
+// Guards against requests that earn repeats at two daemons when all callers move from
+// one to the other: the first one's repeats and the second one's fall into one window.
+func TestCallersThatMoveEarnNoMoreRepeats(t *testing.T) {
+	f := &simulatedFleet{now: time.Unix(1000, 0), limits: Limits{Ratio: 0.2, FixedAllowance: 10, Window: 10 * time.Second}}
+	f.daemons = []*daemon{f.start(), f.start()}
+	f.now = f.now.Add(time.Minute)
+	for i := range 20 {
+		f.now = f.now.Add(time.Second)
+		wanted := 0
+		if i == 9 || i == 18 {
+			wanted = 1000
+		}
+		f.serve(f.daemons[i/10], 100, wanted)
+		if x := f.excess(); x > 0 {
+			t.Errorf("second %d: %.1f repeats too many", i, x)
+		}
+	}
+}
