Let a daemon's part of the repeat allowance grow after its start

Cause: each process began with its whole part of the fixed allowance unused, whatever the process before it had spent in the same window.

Change: in the first second a daemon uses nothing of the allowance, since it does not know yet who shares it; then its part grows to 0.4 of it at the end of the first window, and is 0.6 from then on. All runs in a window together then use at most the whole. Repeats that its own requests earn are allowed from the start.

Ruled out as a way: telling peers what was spent, which a daemon that is killed cannot do for its last seconds.

TestRestartsDoNotRenewTheAllowance is new.

--- a/internal/decide/repeats/clock_test.go
+++ b/internal/decide/repeats/clock_test.go
@@ -20,8 +20,8 @@
 // time of day was set.
 func TestTheBudgetIgnoresChangesOfTheTimeOfDay(t *testing.T) {
 	for _, step := range []time.Duration{time.Minute, -time.Minute} {
-		b := New(Limits{FixedAllowance: 10, Window: 10 * time.Second})
 		now := time.Now()
+		b := New(Limits{FixedAllowance: 10, Window: 10 * time.Second}, now.Add(-time.Minute))
 		if got := stepped(now, step); got.Round(0).Sub(now.Round(0)) != step || got.Sub(now) != 0 {
 			t.Fatalf("the stepped time is %v later, %v by the monotonic clock", got.Round(0).Sub(now.Round(0)), got.Sub(now))
 		}
--- a/internal/decide/repeats/repeats.go
+++ b/internal/decide/repeats/repeats.go
@@ -2,6 +2,10 @@
 // first. The bound applies to a pool over all daemons in a sliding window. Each daemon
 // gets an equal part of the fixed allowance and a part of the ratio that follows
 // from its own requests.
+//
+// A daemon that has just started does not know what the process before it used in the
+// same window. Its part of the fixed allowance therefore grows from zero in its first
+// window, however often it restarts.
 package repeats
 
 import "time"
@@ -10,6 +14,13 @@
 	// safetyFactor reduces each daemon's part of the bound, because daemons that were
 	// just started or are cut off may use an outdated number of daemons.
 	safetyFactor = 0.6
+	// refillFactor is the part of the fixed allowance that daemons may use in their first
+	// window, in all runs of these windows together. With safetyFactor, which the runs
+	// before may have used, it adds up to the whole.
+	refillFactor = 1 - safetyFactor
+	// learningTime is the time after a start in which a daemon uses nothing of the fixed
+	// allowance, since it does not know yet how many daemons share it.
+	learningTime = time.Second
 	// numSlots is the number of time slots that are counted. All but one of them
 	// span the window.
 	numSlots = 10
@@ -37,7 +48,7 @@
 	Limit float64
 	// Daemons is the number of daemons by which the fixed allowance was divided.
 	Daemons int
-	// Age is the time since the first call that was counted.
+	// Age is the time since which all calls are counted.
 	Age time.Duration
 }
 
@@ -45,8 +56,8 @@
 // concurrent use.
 type Budget struct {
 	limits Limits
-	// start is the time of the first call. Slots are counted from it by the monotonic
-	// clock, because the time of day may be set.
+	// start is the time since which all calls of this daemon are counted. Slots are
+	// counted from it by the monotonic clock, because the time of day may be set.
 	start time.Time
 	// requests and repeats are ring buffers of counts by slot.
 	requests [numSlots]float64
@@ -55,16 +66,14 @@
 	currentSlot int64
 }
 
-// New returns an unused budget.
-func New(l Limits) *Budget { return &Budget{limits: l} }
+// New returns the unused budget of a daemon that has sent nothing to the pool since the
+// given time, usually its start.
+func New(l Limits, since time.Time) *Budget { return &Budget{limits: l, start: since} }
 
 // advance moves to the slot of now, clears the slots that are reused, and returns the
 // index of the slot in the ring buffers.
 func (b *Budget) advance(now time.Time) int {
 	width := max(int64(b.limits.Window)/(numSlots-1), 1)
-	if b.start.IsZero() {
-		b.start = now
-	}
 	slot := max(int64(now.Sub(b.start))/width, 0)
 	if slot-b.currentSlot >= numSlots {
 		b.requests, b.repeats = [numSlots]float64{}, [numSlots]float64{}
@@ -99,9 +108,23 @@
 		d.Requests += b.requests[k]
 		d.Repeats += b.repeats[k]
 	}
-	d.Limit = share * (b.limits.FixedAllowance/float64(d.Daemons) + b.limits.Ratio*d.Requests)
+	fixed := b.limits.FixedAllowance / float64(d.Daemons) * allowanceShare(d.Age, b.limits.Window)
+	d.Limit = share * (fixed + b.limits.Ratio*d.Requests)
 	if d.Allowed = d.Repeats+float64(n) <= d.Limit; d.Allowed {
 		b.repeats[i] += float64(n)
 	}
 	return d
 }
+
+// allowanceShare returns the part of its share of the fixed allowance that a daemon may
+// use at a given age.
+func allowanceShare(age, window time.Duration) float64 {
+	switch {
+	case age < learningTime:
+		return 0
+	case age < window:
+		return refillFactor / safetyFactor * float64(age) / float64(window)
+	default:
+		return 1
+	}
+}
--- a/internal/decide/repeats/repeats_test.go
+++ b/internal/decide/repeats/repeats_test.go
@@ -15,7 +15,7 @@
 		n := rapid.IntRange(1, 12).Draw(t, "daemons")
 		var daemons []*Budget
 		for range n {
-			daemons = append(daemons, New(limits))
+			daemons = append(daemons, New(limits, time.Unix(900, 0)))
 		}
 		type event struct {
 			at                time.Time
@@ -58,7 +58,8 @@
 
 // Guards against a budget that stays exhausted after a window without repeats.
 func TestTheBudgetRecovers(t *testing.T) {
-	b, now := New(Limits{FixedAllowance: 10, Window: 10 * time.Second}), time.Unix(1000, 0)
+	now := time.Unix(1000, 0)
+	b := New(Limits{FixedAllowance: 10, Window: 10 * time.Second}, now.Add(-time.Minute))
 	taken := 0
 	for b.Take(now, 1, 1).Allowed {
 		taken++
@@ -76,7 +77,7 @@
 // of that must leave repeats for requests that fail without one.
 func TestOptionalRepeatsLeaveHalf(t *testing.T) {
 	now := time.Unix(1000, 0)
-	b := New(Limits{FixedAllowance: 100, Window: 10 * time.Second})
+	b := New(Limits{FixedAllowance: 100, Window: 10 * time.Second}, now.Add(-time.Minute))
 	optional, needed := 0, 0
 	for b.TakeOptional(now, 1, 1).Allowed {
 		optional++
--- a/internal/decide/repeats/restart_test.go
+++ b/internal/decide/repeats/restart_test.go
@@ -29,7 +29,7 @@
 }
 
 func (f *simulatedFleet) start() *daemon {
-	return &daemon{budget: New(f.limits), startedAt: f.now}
+	return &daemon{budget: New(f.limits, f.now), startedAt: f.now}
 }
 
 // knownDaemons returns the number of daemons that one of them knows of.
@@ -123,3 +123,25 @@
 		}
 	}
 }
+
+// Guards against a daemon that starts again and again and spends its part of the fixed
+// allowance each time.
+func TestRestartsDoNotRenewTheAllowance(t *testing.T) {
+	for _, lifetime := range []time.Duration{500 * time.Millisecond, 1200 * time.Millisecond, 3 * time.Second, 9 * time.Second} {
+		f := &simulatedFleet{now: time.Unix(1000, 0), limits: Limits{Ratio: 0.2, FixedAllowance: 50, Window: 10 * time.Second}}
+		d := f.start()
+		f.daemons = []*daemon{d}
+		f.now = f.now.Add(time.Minute)
+		lastStart := f.now
+		for range 300 {
+			f.now = f.now.Add(100 * time.Millisecond)
+			f.serve(d, 0, 100)
+			if x := f.excess(); x > 0 {
+				t.Fatalf("a daemon that lives for %v sends %.1f repeats too many", lifetime, x)
+			}
+			if f.now.Sub(lastStart) >= lifetime {
+				*d, lastStart = *f.start(), f.now
+			}
+		}
+	}
+}
--- a/internal/edge/shared.go
+++ b/internal/edge/shared.go
@@ -19,20 +19,22 @@
 	limits repeats.Limits
 	// daemonCount returns the number of daemons that share a budget.
 	daemonCount func() int
+	// since is the start of this daemon.
+	since time.Time
 
 	mu     sync.Mutex
 	byPool map[core.PoolID]*repeats.Budget
 }
 
-func newRepeatBudgets(l repeats.Limits, daemons func() int) *repeatBudgets {
-	return &repeatBudgets{limits: l, daemonCount: daemons, byPool: map[core.PoolID]*repeats.Budget{}}
+func newRepeatBudgets(l repeats.Limits, daemons func() int, since time.Time) *repeatBudgets {
+	return &repeatBudgets{limits: l, daemonCount: daemons, since: since, byPool: map[core.PoolID]*repeats.Budget{}}
 }
 
 // poolBudget returns the budget of a pool. The caller holds mu.
 func (b *repeatBudgets) poolBudget(id core.PoolID) *repeats.Budget {
 	p := b.byPool[id]
 	if p == nil {
-		p = repeats.New(b.limits)
+		p = repeats.New(b.limits, b.since)
 		b.byPool[id] = p
 	}
 	return p
--- a/internal/edge/shared_test.go
+++ b/internal/edge/shared_test.go
@@ -36,7 +36,7 @@
 func TestTheAllowanceIsShared(t *testing.T) {
 	limits := repeats.Limits{FixedAllowance: 80, Window: 10 * time.Second}
 	count := func(daemons int) int {
-		b, n := newRepeatBudgets(limits, func() int { return daemons }), 0
+		b, n := newRepeatBudgets(limits, func() int { return daemons }, time.Now().Add(-time.Minute)), 0
 		for b.Take("p", 1).Allowed {
 			n++
 		}
