Share the repeat allowance by all daemons of the window

Cause: the fixed allowance was divided by the daemons alive or listed at this moment.

Change: daemons divide by the highest number that they have known to run in the window, leaving ones included, or that a peer has observed. Statuses carry that number; it is a daemon's own observation, never what it heard, so it expires. Earlier versions send none and count as before. The permits for limited endpoints keep their own count.

TestFleetSize.

--- a/internal/adapter/fleetrpc/convert.go
+++ b/internal/adapter/fleetrpc/convert.go
@@ -25,7 +25,7 @@
 }
 
 func statusToPB(now time.Time, s *fleet.Status) *fleetpb.Status {
-	out := &fleetpb.Status{Member: memberToPB(s.Member), Incarnation: s.Incarnation, Leaving: s.Leaving, Tables: s.Tables}
+	out := &fleetpb.Status{Member: memberToPB(s.Member), Incarnation: s.Incarnation, Leaving: s.Leaving, Tables: s.Tables, Daemons: uint32(s.Daemons)}
 	for _, l := range s.Loads {
 		out.Loads = append(out.Loads, &fleetpb.EndpointLoad{Endpoint: string(l.Endpoint), Running: int32(l.Running),
 			PrefillTokens: int64(l.PrefillTokens), Failing: l.Failing})
@@ -54,7 +54,7 @@
 }
 
 func statusFromPB(now time.Time, s *fleetpb.Status) *fleet.Status {
-	out := &fleet.Status{Member: memberFromPB(s.GetMember()), Incarnation: s.GetIncarnation(), Leaving: s.GetLeaving(), Tables: s.GetTables()}
+	out := &fleet.Status{Member: memberFromPB(s.GetMember()), Incarnation: s.GetIncarnation(), Leaving: s.GetLeaving(), Tables: s.GetTables(), Daemons: int(s.GetDaemons())}
 	for _, l := range s.GetLoads() {
 		out.Loads = append(out.Loads, fleet.EndpointLoad{Endpoint: core.InstanceID(l.GetEndpoint()), Running: int(l.GetRunning()),
 			PrefillTokens: int(l.GetPrefillTokens()), Failing: l.GetFailing()})
--- a/internal/adapter/fleetrpc/fleetrpc_test.go
+++ b/internal/adapter/fleetrpc/fleetrpc_test.go
@@ -99,7 +99,7 @@
 	sent := &fleet.Status{Member: fleet.Member{ID: "me", Address: "a:1", DataCenter: "x", Millicores: 192, GrantsPermits: true}, Incarnation: 5, Leaving: true, Tables: map[string]int64{"t": 3},
 		Loads: []fleet.EndpointLoad{{Endpoint: "e", Running: 2, PrefillTokens: 9000, Failing: true}}, Waits: []fleet.GroupWait{{StageGroup: fleet.StageGroup{Pool: "p", Group: 7}, Wait: []time.Duration{0, 1500 * time.Millisecond}}},
 		Suspects: []fleet.Suspect{{Fingerprint: 1 << 63, Crashes: 2}}, Known: []fleet.Member{{ID: "o", Address: "b:2", DataCenter: "y"}},
-		StoreAnswered: time.Now().Add(-time.Minute),
+		StoreAnswered: time.Now().Add(-time.Minute), Daemons: 7,
 		Limits: []fleet.EndpointLimit{{Endpoint: "e", StartedMs: 77, Observation: ratelimit.Observation{PerSecond: 2.5, SentAt: time.Now().Add(-2 * time.Minute), ReceivedAt: time.Now().Add(-time.Minute)}},
 			{Endpoint: "f", StartedMs: 78, Observation: ratelimit.Observation{PerSecond: ratelimit.Unlimited, SentAt: time.Now().Add(-time.Hour), ReceivedAt: time.Now()}},
 			{Endpoint: "g", Observation: ratelimit.Observation{SentAt: time.Now(), ReceivedAt: time.Now()}}}}
--- a/internal/app/fleet/fleet.go
+++ b/internal/app/fleet/fleet.go
@@ -152,6 +152,9 @@
 	// that do not list the known daemons.
 	Limits       []EndpointLimit
 	RecentLimits int
+	// Daemons is the highest number of daemons that the sender has known to run lately,
+	// see repeats.FleetSize; 0 if it does not say.
+	Daemons int
 	// Known lists other daemons that are alive.
 	Known []Member
 	// StoreAnswered is the time of the store's latest answer to any daemon that the
--- a/internal/app/fleet/status.go
+++ b/internal/app/fleet/status.go
@@ -20,6 +20,21 @@
 	return f.storeAnswered
 }
 
+// Running returns the number of daemons that run, including this one and those that are
+// leaving and still serve, and the highest number of daemons that a peer reports.
+func (f *Fleet) Running() (running, reported int) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	running = 1
+	for _, p := range f.peers {
+		if p.alive {
+			running++
+			reported = max(reported, min(p.status.Daemons, maxPeers))
+		}
+	}
+	return running, reported
+}
+
 // Status returns the status that this daemon sends to its peers.
 func (f *Fleet) Status() *Status { return f.status(false) }
 
--- a/internal/decide/repeats/restart_test.go
+++ b/internal/decide/repeats/restart_test.go
@@ -10,6 +10,7 @@
 // daemon is one daemon of a simulated fleet, in its present run.
 type daemon struct {
 	budget    *Budget
+	size      *FleetSize
 	startedAt time.Time
 	// stopping daemons still serve, but the others do not count them as alive.
 	stopping bool
@@ -29,29 +30,44 @@
 }
 
 func (f *simulatedFleet) start() *daemon {
-	return &daemon{budget: New(f.limits, f.now), startedAt: f.now}
+	return &daemon{budget: New(f.limits, f.now), size: NewFleetSize(f.limits.Window), startedAt: f.now}
 }
 
-// knownDaemons returns the number of daemons that one of them knows of.
-func (f *simulatedFleet) knownDaemons(d *daemon) int {
-	if f.now.Sub(d.startedAt) < time.Second {
-		return 1
-	}
-	n := 0
-	for _, other := range f.daemons {
-		if other == d || !other.stopping {
-			n++
+// exchange lets the daemons tell each other how many they are. A daemon that has just
+// started knows only itself.
+func (f *simulatedFleet) exchange() {
+	for _, d := range f.daemons {
+		running, reported := 1, 0
+		if f.now.Sub(d.startedAt) >= learningTime {
+			for _, other := range f.daemons {
+				if other != d {
+					reported = max(reported, other.size.Observed(f.now))
+				}
+				if other != d && !other.stopping {
+					running++
+				}
+			}
 		}
+		d.size.Observe(f.now, running, reported)
+	}
+}
+
+// advance lets time pass, in which the daemons exchange their statuses.
+func (f *simulatedFleet) advance(d time.Duration) {
+	for end := f.now.Add(d); f.now.Before(end); {
+		f.now = f.now.Add(min(end.Sub(f.now), exchangeInterval))
+		f.exchange()
 	}
-	return n
 }
 
+const exchangeInterval = 300 * time.Millisecond
+
 // serve lets a daemon get some requests and send as many repeats as it may, up to wanted.
 func (f *simulatedFleet) serve(d *daemon, requests, wanted int) {
 	d.budget.RecordRequests(f.now, requests)
 	f.requests = append(f.requests, event{f.now, requests})
 	e := event{at: f.now}
-	for e.n < wanted && d.budget.Take(f.now, 1, f.knownDaemons(d)).Allowed {
+	for e.n < wanted && d.budget.Take(f.now, 1, d.size.Daemons(f.now)).Allowed {
 		e.n++
 	}
 	f.repeats = append(f.repeats, e)
@@ -86,9 +102,9 @@
 		for range n {
 			f.daemons = append(f.daemons, f.start())
 		}
-		f.now = f.now.Add(time.Minute)
+		f.advance(time.Minute)
 		for range rapid.IntRange(1, 60).Draw(t, "steps") {
-			f.now = f.now.Add(time.Duration(rapid.IntRange(0, 1500).Draw(t, "ms")) * time.Millisecond)
+			f.advance(time.Duration(rapid.IntRange(0, 1500).Draw(t, "ms")) * time.Millisecond)
 			d := f.daemons[rapid.IntRange(0, n-1).Draw(t, "daemon")]
 			switch rapid.IntRange(0, 5).Draw(t, "step") {
 			case 0:
@@ -110,9 +126,9 @@
 func TestCallersThatMoveEarnNoMoreRepeats(t *testing.T) {
 	f := &simulatedFleet{now: time.Unix(1000, 0), limits: Limits{Ratio: 0.2, FixedAllowance: 10, Window: 10 * time.Second}}
 	f.daemons = []*daemon{f.start(), f.start()}
-	f.now = f.now.Add(time.Minute)
+	f.advance(time.Minute)
 	for i := range 20 {
-		f.now = f.now.Add(time.Second)
+		f.advance(time.Second)
 		wanted := 0
 		if i == 9 || i == 18 {
 			wanted = 1000
@@ -131,10 +147,10 @@
 		f := &simulatedFleet{now: time.Unix(1000, 0), limits: Limits{Ratio: 0.2, FixedAllowance: 50, Window: 10 * time.Second}}
 		d := f.start()
 		f.daemons = []*daemon{d}
-		f.now = f.now.Add(time.Minute)
+		f.advance(time.Minute)
 		lastStart := f.now
 		for range 300 {
-			f.now = f.now.Add(100 * time.Millisecond)
+			f.advance(100 * time.Millisecond)
 			f.serve(d, 0, 100)
 			if x := f.excess(); x > 0 {
 				t.Fatalf("a daemon that lives for %v sends %.1f repeats too many", lifetime, x)
@@ -145,3 +161,47 @@
 		}
 	}
 }
+
+// Guards against daemons that stop as planned, one after the other, while those that are
+// left take over their parts of the fixed allowance.
+func TestStoppingDaemonsKeepTheirPartOfTheAllowance(t *testing.T) {
+	f := &simulatedFleet{now: time.Unix(1000, 0), limits: Limits{Ratio: 0.2, FixedAllowance: 50, Window: 10 * time.Second}}
+	for range 6 {
+		f.daemons = append(f.daemons, f.start())
+	}
+	f.advance(time.Minute)
+	for _, d := range f.daemons {
+		d.stopping = true
+		f.advance(400 * time.Millisecond)
+		for _, d := range f.daemons {
+			f.serve(d, 0, 100)
+		}
+		if x := f.excess(); x > 0 {
+			t.Errorf("%.1f repeats too many", x)
+		}
+	}
+}
+
+// Guards against a daemon that starts while others stop and counts only those that
+// it still finds, and against a count that never falls again.
+func TestFleetSize(t *testing.T) {
+	now := time.Unix(1000, 0)
+	s := NewFleetSize(10 * time.Second)
+	if got := s.Daemons(now); got != 1 {
+		t.Errorf("%d daemons before any is known, want 1", got)
+	}
+	s.Observe(now, 2, 6)
+	if s.Daemons(now) != 6 || s.Observed(now) != 2 {
+		t.Errorf("%d daemons and %d observed, want the 6 that others report and 2", s.Daemons(now), s.Observed(now))
+	}
+	s.Observe(now, 8, 0)
+	for _, c := range []struct {
+		after time.Duration
+		want  int
+	}{{9900 * time.Millisecond, 8}, {11200 * time.Millisecond, 3}} {
+		at := now.Add(c.after)
+		if s.Observe(at, 3, 0); s.Daemons(at) != c.want {
+			t.Errorf("%d daemons after %v, want %d", s.Daemons(at), c.after, c.want)
+		}
+	}
+}
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -64,6 +64,7 @@
 	forward     *forward.Forwarder
 	store       *platform.Store
 	budgets     *repeatBudgets
+	fleetSize   fleetSize
 	metrics     *metrics.Set
 	stopping    atomic.Bool
 	shutdown    chan struct{}
@@ -91,7 +92,8 @@
 	self := fleet.Member{ID: core.InstanceID(s.Instance), Address: s.Listen.AdvertisePeers, DataCenter: core.DataCenterID(s.DataCenter),
 		Millicores: int(1000 * s.CPUShare * float64(s.Cores)), GrantsPermits: true}
 	d.fleet = fleet.New(fleet.Options{Self: self, Transport: d.rpc, Source: d.status, Events: d.telemetry, OnStatus: d.learnFromStatus, Now: time.Now})
-	d.budgets = newRepeatBudgets(repeats.Limits{Ratio: s.Repeats.Ratio, FixedAllowance: s.Repeats.FixedAllowance, Window: seconds(s.Repeats.WindowS)}, d.daemonCount, d.startedAt)
+	d.budgets = newRepeatBudgets(repeats.Limits{Ratio: s.Repeats.Ratio, FixedAllowance: s.Repeats.FixedAllowance, Window: seconds(s.Repeats.WindowS)}, d.repeatingDaemons, d.startedAt)
+	d.fleetSize.size = repeats.NewFleetSize(d.budgets.limits.Window)
 	d.endpoints = endpoints.New(time.Now, d.endpointViewChanged)
 	d.limits = permits.NewRegistry(permits.Options{Self: self.ID, View: d.endpoints.View, Fleet: d.fleet.View, Joined: d.fleet.Joined,
 		DaemonCount: d.daemonCount, Grantors: d.rpc, Events: d.telemetry, Now: time.Now})
@@ -118,6 +120,7 @@
 func (d *Daemon) status() *fleet.Status {
 	s := &fleet.Status{Tables: map[string]int64{}, Loads: d.forward.Loads(), Suspects: d.forward.Suspects()}
 	s.Limits, s.RecentLimits = d.limits.Reported()
+	_, s.Daemons = d.observeFleetSize()
 	for _, t := range d.tables() {
 		s.Tables[t.Name()] = t.Snapshot().LastChange
 		if at := t.LastAnswer(); at.After(s.StoreAnswered) {
@@ -143,6 +146,20 @@
 	return max(len(d.fleet.View().Alive), len(d.daemonTable.Snapshot().Rows))
 }
 
+// observeFleetSize records how many daemons run. A listed one may run without being alive
+// for this daemon.
+func (d *Daemon) observeFleetSize() (sharing, observed int) {
+	running, reported := d.fleet.Running()
+	return d.fleetSize.observe(max(running, len(d.daemonTable.Snapshot().Rows)), reported)
+}
+
+// repeatingDaemons returns the number of daemons that share the fixed allowance of the
+// repeat budgets: all that ran in the window, also those that have stopped since.
+func (d *Daemon) repeatingDaemons() int {
+	sharing, _ := d.observeFleetSize()
+	return sharing
+}
+
 func (d *Daemon) configTableChanged(s *mirror.Snapshot) {
 	c, err := platform.DecodeCatalog(s)
 	if c == nil && err == nil {
--- a/internal/edge/shared.go
+++ b/internal/edge/shared.go
@@ -63,6 +63,23 @@
 	return b.poolBudget(id).TakeOptional(time.Now(), n, daemons)
 }
 
+// fleetSize keeps the number of daemons that share the fixed allowance of the repeat
+// budgets.
+type fleetSize struct {
+	mu   sync.Mutex
+	size *repeats.FleetSize
+}
+
+// observe records the daemons that run, and returns the number that share the allowance
+// and the one that this daemon reports to others.
+func (s *fleetSize) observe(running, reported int) (sharing, observed int) {
+	now := time.Now()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.size.Observe(now, running, reported)
+	return s.size.Daemons(now), s.size.Observed(now)
+}
+
 // coordinatorsPerPool is the number of daemons that may coordinate one pool at the same
 // time: during a membership change, the previous and the new coordinator.
 const coordinatorsPerPool = 2
