Let requests earn repeats within the bound when callers move

Cause: a daemon earned 0.6 of the ratio for requests of up to 11.1 s. The bound counts the requests of one window of 10 s. When callers move to another daemon, after a kill, a cut or a planned stop, the first daemon's repeats rest on the requests before and the second one's on those after, and both fall into one window: up to 1.3 of the ratio.

Change: requests earn 0.5 of the ratio and count for the window at most. The sum over daemons is then at most the ratio times two windows' halves, however callers move; the fixed allowance has its factor of 0.6 as before.

Cost: under steady load a daemon may repeat 0.1 instead of 0.13 of its requests.

--- a/internal/decide/repeats/fleetsize.go
+++ b/internal/decide/repeats/fleetsize.go
@@ -42,7 +42,7 @@
 	if m.start.IsZero() {
 		m.start = now
 	}
-	slot := max(int64(now.Sub(m.start))/max(int64(m.window)/(numSlots-1), 1), m.latest)
+	slot := max(int64(now.Sub(m.start))/slotWidth(m.window), m.latest)
 	for i := max(m.latest+1, slot-numSlots+1); i <= slot; i++ {
 		m.slots[i%numSlots] = 0
 	}
--- a/internal/decide/repeats/repeats.go
+++ b/internal/decide/repeats/repeats.go
@@ -11,9 +11,13 @@
 import "time"
 
 const (
-	// safetyFactor reduces each daemon's part of the bound, because daemons that were
-	// just started or are cut off may use an outdated number of daemons.
+	// safetyFactor reduces each daemon's part of the fixed allowance, because daemons that
+	// were just started or are cut off may use an outdated number of daemons.
 	safetyFactor = 0.6
+	// earnedFactor reduces the repeats that requests earn. When all callers move from one
+	// daemon to another, the first one's repeats and the second one's fall into one
+	// window, and the bound counts the requests of one window only.
+	earnedFactor = 0.5
 	// refillFactor is the part of the fixed allowance that daemons may use in their first
 	// window, in all runs of these windows together. With safetyFactor, which the runs
 	// before may have used, it adds up to the whole.
@@ -21,9 +25,12 @@
 	// learningTime is the time after a start in which a daemon uses nothing of the fixed
 	// allowance, since it does not know yet how many daemons share it.
 	learningTime = time.Second
-	// numSlots is the number of time slots that are counted. All but one of them
-	// span the window.
+	// numSlots is the number of time slots in which repeats are counted. All but one of
+	// them span the window.
 	numSlots = 10
+	// requestSlots is the number of time slots in which requests are counted. They span
+	// the window at most, since older requests earn nothing by the bound.
+	requestSlots = numSlots - 1
 	// optionalShare is the fraction of the budget that optional repeats may use.
 	optionalShare = 0.5
 )
@@ -73,8 +80,7 @@
 // advance moves to the slot of now, clears the slots that are reused, and returns the
 // index of the slot in the ring buffers.
 func (b *Budget) advance(now time.Time) int {
-	width := max(int64(b.limits.Window)/(numSlots-1), 1)
-	slot := max(int64(now.Sub(b.start))/width, 0)
+	slot := max(int64(now.Sub(b.start))/slotWidth(b.limits.Window), 0)
 	if slot-b.currentSlot >= numSlots {
 		b.requests, b.repeats = [numSlots]float64{}, [numSlots]float64{}
 		b.currentSlot = slot
@@ -92,30 +98,35 @@
 // Take uses n repeats of the budget if this daemon's part of the bound allows them.
 // daemons is the number of daemons that share the fixed allowance.
 func (b *Budget) Take(now time.Time, n, daemons int) Decision {
-	return b.take(now, n, daemons, safetyFactor)
+	return b.take(now, n, daemons, 1)
 }
 
 // TakeOptional is Take for optional repeats, without which no request fails, for example
 // when a call is only slow. They leave half of the budget to the others.
 func (b *Budget) TakeOptional(now time.Time, n, daemons int) Decision {
-	return b.take(now, n, daemons, safetyFactor*optionalShare)
+	return b.take(now, n, daemons, optionalShare)
 }
 
 func (b *Budget) take(now time.Time, n, daemons int, share float64) Decision {
 	i := b.advance(now)
 	d := Decision{Daemons: max(daemons, 1), Age: now.Sub(b.start)}
 	for k := range numSlots {
-		d.Requests += b.requests[k]
 		d.Repeats += b.repeats[k]
 	}
+	for k := range min(requestSlots, b.currentSlot+1) {
+		d.Requests += b.requests[(b.currentSlot-k)%numSlots]
+	}
 	fixed := b.limits.FixedAllowance / float64(d.Daemons) * allowanceShare(d.Age, b.limits.Window)
-	d.Limit = share * (fixed + b.limits.Ratio*d.Requests)
+	d.Limit = share * (fixed + earnedFactor*b.limits.Ratio*d.Requests)
 	if d.Allowed = d.Repeats+float64(n) <= d.Limit; d.Allowed {
 		b.repeats[i] += float64(n)
 	}
 	return d
 }
 
+// slotWidth returns the length of a time slot.
+func slotWidth(window time.Duration) int64 { return max(int64(window)/requestSlots, 1) }
+
 // allowanceShare returns the part of its share of the fixed allowance that a daemon may
 // use at a given age.
 func allowanceShare(age, window time.Duration) float64 {
@@ -123,8 +134,8 @@
 	case age < learningTime:
 		return 0
 	case age < window:
-		return refillFactor / safetyFactor * float64(age) / float64(window)
+		return refillFactor * float64(age) / float64(window)
 	default:
-		return 1
+		return safetyFactor
 	}
 }
