Share a stage pool's repeat allowance by all its coordinators

Cause: the coordinators of a stage pool divided the fixed allowance by 2. A pool of more than eight endpoints has a coordinator for each group, and a daemon that takes over a group began with its whole part unused.

Change: the part is divided by two for each group, and begins to grow when the daemon coordinates the pool for the first time, as after a start.

--- a/internal/app/stagework/client.go
+++ b/internal/app/stagework/client.go
@@ -126,6 +126,9 @@
 	return c.groups[pool]
 }
 
+// GroupCount returns the number of groups into which the endpoints of a pool are divided.
+func (c *Client) GroupCount(pool core.PoolID) int { return len(c.groupsOf(pool)) }
+
 // groupWait estimates how long a new piece of the rank waits in one group.
 func (c *Client) groupWait(pool core.PoolID, g grouping.Group, rank int) time.Duration {
 	candidates := c.candidates(pool, g.ID)
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -92,13 +92,13 @@
 	self := fleet.Member{ID: core.InstanceID(s.Instance), Address: s.Listen.AdvertisePeers, DataCenter: core.DataCenterID(s.DataCenter),
 		Millicores: int(1000 * s.CPUShare * float64(s.Cores)), GrantsPermits: true}
 	d.fleet = fleet.New(fleet.Options{Self: self, Transport: d.rpc, Source: d.status, Events: d.telemetry, OnStatus: d.learnFromStatus, Now: time.Now})
-	d.budgets = newRepeatBudgets(repeats.Limits{Ratio: s.Repeats.Ratio, FixedAllowance: s.Repeats.FixedAllowance, Window: seconds(s.Repeats.WindowS)}, d.repeatingDaemons, d.startedAt)
+	d.budgets = newRequestBudgets(repeats.Limits{Ratio: s.Repeats.Ratio, FixedAllowance: s.Repeats.FixedAllowance, Window: seconds(s.Repeats.WindowS)}, d.repeatingDaemons, d.startedAt)
 	d.fleetSize.size = repeats.NewFleetSize(d.budgets.limits.Window)
 	d.endpoints = endpoints.New(time.Now, d.endpointViewChanged)
 	d.limits = permits.NewRegistry(permits.Options{Self: self.ID, View: d.endpoints.View, Fleet: d.fleet.View, Joined: d.fleet.Joined,
 		DaemonCount: d.daemonCount, Grantors: d.rpc, Events: d.telemetry, Now: time.Now})
 	calls := platform.NewEndpointClient(time.Now, d.endpoints.HandleNotice, d.limits)
-	stageBudgets := newRepeatBudgets(d.budgets.limits, func() int { return coordinatorsPerPool }, d.startedAt)
+	stageBudgets := newStageBudgets(d.budgets.limits, func(id core.PoolID) int { return d.stageClient.GroupCount(id) })
 	d.coordinator = stagework.NewCoordinator(ctx, calls, d.endpoints.PausedUntil, d.limits, d.telemetry, stageBudgets, time.Now)
 	d.stageClient = stagework.NewClient(d.fleet, self, d.coordinator, d.rpc, d.telemetry, time.Now)
 	d.forward = forward.New(forward.Options{Catalog: d.catalog.Load, View: d.endpoints.View, Fleet: d.fleet.View, Endpoints: calls,
--- a/internal/edge/shared.go
+++ b/internal/edge/shared.go
@@ -17,24 +17,39 @@
 // forward.Budget and stagework.Budget.
 type repeatBudgets struct {
 	limits repeats.Limits
-	// daemonCount returns the number of daemons that share a budget.
-	daemonCount func() int
-	// since is the start of this daemon.
+	// sharing returns the number of daemons that share the budget of a pool.
+	sharing func(core.PoolID) int
+	// since is the start of this daemon; zero if a budget's part begins to grow when it is
+	// used for the first time.
 	since time.Time
 
 	mu     sync.Mutex
 	byPool map[core.PoolID]*repeats.Budget
 }
 
-func newRepeatBudgets(l repeats.Limits, daemons func() int, since time.Time) *repeatBudgets {
-	return &repeatBudgets{limits: l, daemonCount: daemons, since: since, byPool: map[core.PoolID]*repeats.Budget{}}
+// newRequestBudgets returns the budgets of requests, which each daemon sends itself since
+// its start.
+func newRequestBudgets(l repeats.Limits, daemons func() int, since time.Time) *repeatBudgets {
+	return &repeatBudgets{limits: l, sharing: func(core.PoolID) int { return daemons() }, since: since, byPool: map[core.PoolID]*repeats.Budget{}}
+}
+
+// newStageBudgets returns the budgets of the pieces of stages, which the coordinators of
+// a pool's groups send. groups returns the number of groups of a pool. A daemon that
+// takes over a group does not know what the coordinator before it has used.
+func newStageBudgets(l repeats.Limits, groups func(core.PoolID) int) *repeatBudgets {
+	sharing := func(id core.PoolID) int { return coordinatorsPerGroup * max(groups(id), 1) }
+	return &repeatBudgets{limits: l, sharing: sharing, byPool: map[core.PoolID]*repeats.Budget{}}
 }
 
 // poolBudget returns the budget of a pool. The caller holds mu.
 func (b *repeatBudgets) poolBudget(id core.PoolID) *repeats.Budget {
 	p := b.byPool[id]
 	if p == nil {
-		p = repeats.New(b.limits, b.since)
+		since := b.since
+		if since.IsZero() {
+			since = time.Now()
+		}
+		p = repeats.New(b.limits, since)
 		b.byPool[id] = p
 	}
 	return p
@@ -49,18 +64,18 @@
 
 // Take implements forward.Budget and stagework.Budget.
 func (b *repeatBudgets) Take(id core.PoolID, n int) repeats.Decision {
-	daemons := b.daemonCount()
+	sharing := b.sharing(id)
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return b.poolBudget(id).Take(time.Now(), n, daemons)
+	return b.poolBudget(id).Take(time.Now(), n, sharing)
 }
 
 // TakeOptional implements stagework.Budget.
 func (b *repeatBudgets) TakeOptional(id core.PoolID, n int) repeats.Decision {
-	daemons := b.daemonCount()
+	sharing := b.sharing(id)
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return b.poolBudget(id).TakeOptional(time.Now(), n, daemons)
+	return b.poolBudget(id).TakeOptional(time.Now(), n, sharing)
 }
 
 // fleetSize keeps the number of daemons that share the fixed allowance of the repeat
@@ -80,9 +95,9 @@
 	return s.size.Daemons(now), s.size.Observed(now)
 }
 
-// coordinatorsPerPool is the number of daemons that may coordinate one pool at the same
-// time: during a membership change, the previous and the new coordinator.
-const coordinatorsPerPool = 2
+// coordinatorsPerGroup is the number of daemons that may coordinate one group at the same
+// time: one on each side of a partition, or the previous and the new coordinator.
+const coordinatorsPerGroup = 2
 
 // peerTables reads other daemons' copies of tables.
 type peerTables struct {
--- a/internal/edge/shared_test.go
+++ b/internal/edge/shared_test.go
@@ -7,6 +7,7 @@
 
 	"eelgrassgrade/internal/app/fleet"
 	"eelgrassgrade/internal/app/mirror"
+	"eelgrassgrade/internal/core"
 	"eelgrassgrade/internal/decide/repeats"
 )
 
@@ -36,7 +37,7 @@
 func TestTheAllowanceIsShared(t *testing.T) {
 	limits := repeats.Limits{FixedAllowance: 80, Window: 10 * time.Second}
 	count := func(daemons int) int {
-		b, n := newRepeatBudgets(limits, func() int { return daemons }, time.Now().Add(-time.Minute)), 0
+		b, n := newRequestBudgets(limits, func() int { return daemons }, time.Now().Add(-time.Minute)), 0
 		for b.Take("p", 1).Allowed {
 			n++
 		}
@@ -47,6 +48,23 @@
 	}
 }
 
+// Guards against coordinators of a pool that together use more than its allowance: each
+// group has one, and a group gets another one when a daemon is lost.
+func TestTheAllowanceOfAStagePoolIsSharedByItsCoordinators(t *testing.T) {
+	limits := repeats.Limits{FixedAllowance: 80, Window: 10 * time.Second}
+	const groups, coordinatorsOfEach = 5, 3
+	used := 0
+	for range groups * coordinatorsOfEach {
+		b := newStageBudgets(limits, func(core.PoolID) int { return groups })
+		for b.Take("p", 1).Allowed {
+			used++
+		}
+	}
+	if used > int(limits.FixedAllowance) {
+		t.Errorf("%d pieces repeated by the coordinators of a pool, allowed %g", used, limits.FixedAllowance)
+	}
+}
+
 // Guards against a daemon that is paused while it stops and that closes its listener as
 // soon as it resumes: connections that were opened during the pause would be reset.
 func TestAPauseDoesNotShortenTheStop(t *testing.T) {
