Count a rejected call of pieces against the repeat budget

Cause: a call that an endpoint rejects (503, 421) was taken as one that did not run, and its pieces were sent again without the budget. Arrivals that an endpoint rejects count as well; only a call without a connection has not arrived.

Change: pieces are free to be sent again only if there was no connection, or if their result found no room.

TestRejectedCallsAreRepeatedWithinTheBudget: the piece was repeated without a budget before ('without a budget: <nil>, want served false'); now the task ends.

--- a/internal/app/stagework/call.go
+++ b/internal/app/stagework/call.go
@@ -199,14 +199,15 @@
 	for _, it := range c.items {
 		it.runningCalls--
 		it.failures++
-		g.retry(it, err.Ran == core.RanNot, "call failed", err)
+		g.retry(it, err.Step == "connect", "call failed", err)
 	}
 }
 
 // retry queues a piece that has no result again, if the limit of failures and the
-// retry budget allow it; otherwise it ends the task with an error. A piece that did
-// not run needs no retry budget. The caller holds mu.
-func (g *endpointGroup) retry(it *workItem, notRun bool, reason string, cause *core.Error) {
+// retry budget allow it; otherwise it ends the task with an error. A free repeat needs
+// no retry budget: its piece has not reached an endpoint, or waits for capacity. The
+// caller holds mu.
+func (g *endpointGroup) retry(it *workItem, free bool, reason string, cause *core.Error) {
 	if it.finished || it.queued || it.task.ended || it.runningCalls > 0 {
 		return
 	}
@@ -220,7 +221,7 @@
 	}
 	allowed := it.failures < maxFailures
 	var budget *repeats.Decision
-	if allowed && !notRun {
+	if allowed && !free {
 		d := g.coordinator.budget.Take(g.poolID, 1)
 		allowed, budget = d.Allowed, &d
 	}
--- a/internal/app/stagework/coordinator_test.go
+++ b/internal/app/stagework/coordinator_test.go
@@ -313,6 +313,31 @@
 	})
 }
 
+// Guards against repeats that are not counted because the endpoint rejected the call
+// before: a rejected call has arrived there. One without a connection has not.
+func TestRejectedCallsAreRepeatedWithinTheBudget(t *testing.T) {
+	for _, c := range []struct {
+		name               string
+		down, full, served bool
+	}{{"full", false, true, false}, {"down", true, false, true}} {
+		t.Run(c.name, func(t *testing.T) {
+			withCoordinator(t, 2, func(sim *simulation, coordinator *Coordinator) {
+				// The first idle endpoint by name gets the call.
+				sim.endpoints["m0"].down, sim.endpoints["m0"].full = c.down, c.full
+				coordinator.budget.(*fakeBudget).remaining = 0
+				_, err := coordinator.Submit(sim.t.Context(), 0, newTask("r", 1, 0, time.Second, 5*time.Second))
+				if served := err == nil; served != c.served {
+					t.Errorf("without a budget: %v, want served %v", err, c.served)
+				}
+				coordinator.budget.(*fakeBudget).remaining = 1
+				if _, err := coordinator.Submit(sim.t.Context(), 0, newTask("r2", 1, 0, time.Second, 5*time.Second)); err != nil {
+					t.Errorf("with a budget: %v", err)
+				}
+			})
+		})
+	}
+}
+
 // Guards against repeating pieces whose inputs no longer exist.
 func TestMissingInputEndsTheTaskAtOnce(t *testing.T) {
 	withCoordinator(t, 2, func(sim *simulation, c *Coordinator) {
--- a/internal/app/stagework/sim_test.go
+++ b/internal/app/stagework/sim_test.go
@@ -25,8 +25,9 @@
 	slot            chan struct{}
 	unfinishedCalls int
 	slowFactor      float64
-	down            bool
-	capacity        int
+	// down endpoints accept no connection, full ones reject each call.
+	down, full bool
+	capacity   int
 	// stored holds the size of each stored result by handle, capacity bounds their sum.
 	stored    map[string]int
 	calls     [][]Piece
@@ -129,7 +130,7 @@
 		time.Sleep(100 * time.Millisecond)
 		return nil, &core.Error{Kind: core.Unavailable, Step: "connect", Ran: core.RanNot, Detail: "no connection"}
 	}
-	if fake.unfinishedCalls >= 3 {
+	if fake.full || fake.unfinishedCalls >= 3 {
 		sim.mu.Unlock()
 		return nil, &core.Error{Kind: core.Unavailable, Step: "stage", Ran: core.RanNot, Detail: "full"}
 	}
