Let repeated tasks of stages earn no repeats

Cause: a task that runs again, after a lost coordinator or lost results, was counted as a new request of the pool and earned repeats, while the bound counts the requests of callers.

Change: only the first run of a task counts.

TestRepeatedTasksEarnNoRepeats: 'a request whose stage ran twice earns as 2 requests, want 1' before.

--- a/internal/app/stagework/coordinator_test.go
+++ b/internal/app/stagework/coordinator_test.go
@@ -338,6 +338,23 @@
 	}
 }
 
+// Guards against repeats that earn further repeats: the task of a request whose stages run
+// again is no new request.
+func TestRepeatedTasksEarnNoRepeats(t *testing.T) {
+	withCoordinator(t, 2, func(sim *simulation, c *Coordinator) {
+		for _, repeated := range []bool{false, true} {
+			task := newTask(fmt.Sprint("r", repeated), 1, 0, time.Second, 5*time.Second)
+			task.MayHaveRun = repeated
+			if _, err := c.Submit(sim.t.Context(), 0, task); err != nil {
+				t.Error(err)
+			}
+		}
+		if n := c.budget.(*fakeBudget).requests; n != 1 {
+			t.Errorf("a request whose stage ran twice earns as %d requests, want 1", n)
+		}
+	})
+}
+
 // Guards against repeating pieces whose inputs no longer exist.
 func TestMissingInputEndsTheTaskAtOnce(t *testing.T) {
 	withCoordinator(t, 2, func(sim *simulation, c *Coordinator) {
--- a/internal/app/stagework/group.go
+++ b/internal/app/stagework/group.go
@@ -113,8 +113,9 @@
 		return nil, &core.Error{Kind: core.Unavailable, Step: "stage", Ran: core.RanNot, RetryAfter: time.Second, Detail: "the queue of pool " + string(t.Pool) + " is full"}
 	}
 	task := &taskState{Task: t, remainingPieces: t.Pieces, unfetchedPieces: t.Pieces, results: make([]Result, t.Pieces), done: make(chan struct{})}
-	g.coordinator.budget.RecordRequests(t.Pool, 1)
-	if t.MayHaveRun {
+	if !t.MayHaveRun {
+		g.coordinator.budget.RecordRequests(t.Pool, 1)
+	} else {
 		budget := g.coordinator.budget.Take(t.Pool, t.Pieces)
 		g.coordinator.events.PieceRepeated(t, "the task may have run before", budget.Allowed, &budget)
 		if !budget.Allowed {
--- a/internal/app/stagework/sim_test.go
+++ b/internal/app/stagework/sim_test.go
@@ -218,6 +218,7 @@
 type fakeBudget struct {
 	mu                  sync.Mutex
 	remaining, optional int
+	requests            int
 }
 
 func (b *fakeBudget) TakeOptional(id core.PoolID, n int) repeats.Decision {
@@ -231,7 +232,12 @@
 	return b.Take(id, n)
 }
 
-func (b *fakeBudget) RecordRequests(core.PoolID, int) {}
+func (b *fakeBudget) RecordRequests(_ core.PoolID, n int) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.requests += n
+}
+
 func (b *fakeBudget) Take(_ core.PoolID, n int) repeats.Decision {
 	b.mu.Lock()
 	defer b.mu.Unlock()
