Log the parts of requests that an endpoint's crash ended

Logs do not name the parts of requests, so that no hypothesis about a common part can be checked.

Change: endpoint_crash names the request, the endpoint, the parts and for how long events had come; one line for each request that a crash ended, beside its request_again. A counter by pool. No decision changes.

--- a/internal/adapter/telemetry/hosted.go
+++ b/internal/adapter/telemetry/hosted.go
@@ -173,6 +173,23 @@
 	h.log.Info().Str("pool", string(pool)).Str("endpoint", string(e)).Bool("out", ejected).Str("reason", reason).Msg("endpoint_health")
 }
 
+// maxLoggedParts bounds the parts of a prompt that one line names.
+const maxLoggedParts = 16
+
+// EndpointCrashed implements forward.Events.
+func (h *HostedRecorder) EndpointCrashed(r *forward.Request, pool core.PoolID, e core.InstanceID, streaming time.Duration) {
+	h.set.GetOrCreateCounter(fmt.Sprintf(`eelgrass_endpoint_crash_requests_total{pool=%q,streaming="%t"}`, pool, streaming >= 0)).Inc()
+	parts := make([]string, 0, min(len(r.Prompt), maxLoggedParts))
+	for _, p := range r.Prompt[:cap(parts)] {
+		parts = append(parts, p.ID)
+	}
+	line := h.log.Info().Str("request", string(r.ID)).Str("pool", string(pool)).Str("endpoint", string(e)).Strs("parts", parts)
+	if streaming >= 0 {
+		line = line.Int64("streaming_ms", streaming.Milliseconds())
+	}
+	line.Msg("endpoint_crash")
+}
+
 // RequestQuarantined implements forward.Events.
 func (h *HostedRecorder) RequestQuarantined(r *forward.Request, crashes int) {
 	h.set.GetOrCreateCounter(`eelgrass_quarantined_total`).Inc()
--- a/internal/app/forward/attempt.go
+++ b/internal/app/forward/attempt.go
@@ -185,7 +185,7 @@
 	defer cancel()
 	a, err := f.endpoints.Send(callCtx, e, endpointReq)
 	if err != nil {
-		return f.recordFailure(ctx, rs, e, startTime, core.AsError(err, "send"))
+		return f.recordFailure(ctx, rs, e, startTime, time.Time{}, core.AsError(err, "send"))
 	}
 	defer a.Body.Close()
 	if rs.route.Stream && a.Genuine && a.Status == http.StatusOK {
@@ -202,7 +202,7 @@
 			rs.inputs.releaseAll()
 		}
 		if err := s.relay(callCtx, a); err != nil {
-			return f.recordFailure(ctx, rs, e, startTime, err)
+			return f.recordFailure(ctx, rs, e, startTime, firstEventAt, err)
 		}
 		if !resumed && !firstEventAt.IsZero() {
 			f.latencies.observeStreamDuration(rs.route.Name, f.now().Sub(firstEventAt))
@@ -236,16 +236,16 @@
 		// The caller has part of a stream, and only a stream can continue it.
 		return &core.Error{Kind: core.Upstream, Step: "resume", Peer: string(e.ID), Ran: core.RanYes, Detail: "the endpoint did not resume the stream: status " + strconv.Itoa(a.Status)}
 	case !a.Genuine:
-		return f.recordFailure(ctx, rs, e, startTime, &core.Error{Kind: core.Upstream, Step: "answer", Peer: string(e.ID), Detail: "the answer is not marked as the endpoint's answer to this request"})
+		return f.recordFailure(ctx, rs, e, startTime, time.Time{}, &core.Error{Kind: core.Upstream, Step: "answer", Peer: string(e.ID), Detail: "the answer is not marked as the endpoint's answer to this request"})
 	}
 	body, err := io.ReadAll(io.LimitReader(a.Body, maxBufferedAnswerBytes+1))
 	if err != nil {
-		return f.recordFailure(ctx, rs, e, startTime, &core.Error{Kind: core.Upstream, Step: "answer", Peer: string(e.ID), Detail: "the endpoint's answer ended early", Err: err})
+		return f.recordFailure(ctx, rs, e, startTime, time.Time{}, &core.Error{Kind: core.Upstream, Step: "answer", Peer: string(e.ID), Detail: "the endpoint's answer ended early", Err: err})
 	}
 	ok := a.Status < http.StatusInternalServerError
 	if len(body) > maxBufferedAnswerBytes {
 		if err := f.deliverUnbuffered(rs, w, a, body); err != nil {
-			return f.recordFailure(ctx, rs, e, startTime, err)
+			return f.recordFailure(ctx, rs, e, startTime, time.Time{}, err)
 		}
 	}
 	f.tracker.observe(rs.pool, e.ID, health.Sample{OK: ok, Kind: health.Unary, Elapsed: f.now().Sub(startTime)}, false)
@@ -321,11 +321,13 @@
 
 // recordFailure records a request that failed at an endpoint and returns err. If the
 // endpoint turns out to be down, it is ejected; if it may have run the request before,
-// the request's content becomes a suspect.
-func (f *Forwarder) recordFailure(ctx context.Context, rs *requestState, e core.Endpoint, startTime time.Time, err *core.Error) error {
+// the request's content becomes a suspect. firstEventAt is the time of the answer's
+// first event; zero if there was none.
+func (f *Forwarder) recordFailure(ctx context.Context, rs *requestState, e core.Endpoint, startTime, firstEventAt time.Time, err *core.Error) error {
 	if ctx.Err() == context.Canceled {
 		return err
 	}
+	failedAt := f.now()
 	down := err.Step == "connect"
 	if !down && err.Ran != core.RanNot && ctx.Err() == nil {
 		checkCtx, cancel := context.WithTimeout(ctx, reachabilityTimeout)
@@ -333,6 +335,11 @@
 		cancel()
 		if down {
 			f.suspects.recordCrash(rs.fingerprint, e.ID)
+			streaming := time.Duration(-1)
+			if !firstEventAt.IsZero() {
+				streaming = failedAt.Sub(firstEventAt)
+			}
+			f.events.EndpointCrashed(rs.req, rs.pool, e.ID, streaming)
 		}
 	}
 	f.tracker.observe(rs.pool, e.ID, health.Sample{Kind: health.Unary, Elapsed: f.now().Sub(startTime)}, down)
--- a/internal/app/forward/fake_test.go
+++ b/internal/app/forward/fake_test.go
@@ -244,6 +244,8 @@
 }
 func (discardEvents) RequestEnded(*Outcome)                                     {}
 func (discardEvents) EndpointHealth(core.PoolID, core.InstanceID, bool, string) {}
+func (discardEvents) EndpointCrashed(*Request, core.PoolID, core.InstanceID, time.Duration) {
+}
 func (discardEvents) RequestQuarantined(*Request, int)                          {}
 
 // callerAnswer is what a caller got, with the results of Forwarder.Serve.
--- a/internal/app/forward/ports.go
+++ b/internal/app/forward/ports.go
@@ -197,6 +197,9 @@
 	// EndpointHealth reports that an endpoint changed its phase. ejected is false if it
 	// serves again, and true while it is ejected or probed.
 	EndpointHealth(pool core.PoolID, e core.InstanceID, ejected bool, reason string)
+	// EndpointCrashed reports that an endpoint crashed while it had a request that had been
+	// receiving events for the time streaming, or had received none if that is negative.
+	EndpointCrashed(r *Request, pool core.PoolID, e core.InstanceID, streaming time.Duration)
 	// RequestQuarantined reports that a request was refused because its content has
 	// crashed endpoints.
 	RequestQuarantined(r *Request, crashes int)
