--- a/internal/app/forward/fake_test.go
+++ b/internal/app/forward/fake_test.go
@@ -246,7 +246,7 @@
 func (discardEvents) EndpointHealth(core.PoolID, core.InstanceID, bool, string) {}
 func (discardEvents) EndpointCrashed(*Request, core.PoolID, core.InstanceID, time.Duration) {
 }
-func (discardEvents) RequestQuarantined(*Request, int)                          {}
+func (discardEvents) RequestQuarantined(*Request, int) {}
 
 // callerAnswer is what a caller got, with the results of Forwarder.Serve.
 type callerAnswer struct {
