Refuse requests with a part of their prompt that crashes engines

Cause (H1): crashes were attributed to the whole content of a request. Where one part of the prompt is the cause and no two requests are alike, no content ever has two crashes. Class: guilt that is looked for at one granularity only, by one witness.

Change: decide/quarantine.PartSet. Each request that a crash ends before its answer began, or just then, is evidence against all its parts but the last; each answer that goes on for 0.3 s, or is complete, clears the parts of its prompt of all crashes before it began. Only an endpoint whose machine refuses connections has crashed. Daemons relay crashes with their age, and tell what they saw answered. A request is checked when it arrives, before each try and after its stages.

Ruled out: refusing the account or the first part, which sound requests share; counting each daemon's own crashes only, since each would need three.

--- a/internal/adapter/fleetrpc/convert.go
+++ b/internal/adapter/fleetrpc/convert.go
@@ -9,6 +9,7 @@
 	"eelgrassgrade/internal/app/mirror"
 	"eelgrassgrade/internal/app/stagework"
 	"eelgrassgrade/internal/core"
+	"eelgrassgrade/internal/decide/quarantine"
 	"eelgrassgrade/internal/decide/ratelimit"
 )
 
@@ -43,11 +44,14 @@
 	for _, l := range s.Limits {
 		out.Limits = append(out.Limits, limitToPB(now, l))
 	}
+	for _, p := range s.Parts {
+		out.Parts = append(out.Parts, partToPB(now, p))
+	}
 	for _, m := range s.Known {
 		out.Known = append(out.Known, memberToPB(m))
 	}
 	if !s.StoreAnswered.IsZero() {
-		ago := uint32(min(max(now.Sub(s.StoreAnswered).Milliseconds(), 0), math.MaxUint32))
+		ago := millisecondsAgo(now, s.StoreAnswered)
 		out.StoreAnsweredMs = &ago
 	}
 	return out
@@ -72,6 +76,9 @@
 	for _, l := range s.GetLimits() {
 		out.Limits = append(out.Limits, limitFromPB(now, l))
 	}
+	for _, p := range s.GetParts() {
+		out.Parts = append(out.Parts, partFromPB(now, p))
+	}
 	for _, m := range s.GetKnown() {
 		out.Known = append(out.Known, memberFromPB(m))
 	}
@@ -81,6 +88,38 @@
 	return out
 }
 
+func millisecondsAgo(now, at time.Time) uint32 {
+	return uint32(min(max(now.Sub(at).Milliseconds(), 0), math.MaxUint32))
+}
+
+func partToPB(now time.Time, p quarantine.PartReport) *fleetpb.PartReport {
+	out := &fleetpb.PartReport{Part: uint64(p.Part)}
+	for _, c := range p.Crashes {
+		out.Endpoints = append(out.Endpoints, uint64(c.Endpoint))
+		out.CrashedAgoMs = append(out.CrashedAgoMs, millisecondsAgo(now, c.At))
+	}
+	if !p.SoundAt.IsZero() {
+		ago := millisecondsAgo(now, p.SoundAt)
+		out.SoundAgoMs = &ago
+	}
+	return out
+}
+
+// partFromPB ignores endpoints without a time.
+func partFromPB(now time.Time, p *fleetpb.PartReport) quarantine.PartReport {
+	ago := func(ms uint32) time.Time { return now.Add(-time.Duration(ms) * time.Millisecond) }
+	out := quarantine.PartReport{Part: quarantine.Part(p.GetPart())}
+	for i, ms := range p.GetCrashedAgoMs() {
+		if i < len(p.GetEndpoints()) {
+			out.Crashes = append(out.Crashes, quarantine.PartCrash{Endpoint: quarantine.EndpointRun(p.GetEndpoints()[i]), At: ago(ms)})
+		}
+	}
+	if p.SoundAgoMs != nil {
+		out.SoundAt = ago(p.GetSoundAgoMs())
+	}
+	return out
+}
+
 func limitToPB(now time.Time, l fleet.EndpointLimit) *fleetpb.EndpointLimit {
 	out := &fleetpb.EndpointLimit{Endpoint: string(l.Endpoint), StartedMs: l.StartedMs,
 		SentAgoMs: now.Sub(l.SentAt).Milliseconds(), ReceivedAgoMs: now.Sub(l.ReceivedAt).Milliseconds()}
--- a/internal/adapter/fleetrpc/fleetrpc_test.go
+++ b/internal/adapter/fleetrpc/fleetrpc_test.go
@@ -19,6 +19,7 @@
 	"eelgrassgrade/internal/app/stagework"
 	"eelgrassgrade/internal/core"
 	"eelgrassgrade/internal/decide/catalog"
+	"eelgrassgrade/internal/decide/quarantine"
 	"eelgrassgrade/internal/decide/ratelimit"
 	"eelgrassgrade/internal/decide/repeats"
 )
@@ -100,6 +101,7 @@
 		Loads: []fleet.EndpointLoad{{Endpoint: "e", Running: 2, PrefillTokens: 9000, Failing: true}}, Waits: []fleet.GroupWait{{StageGroup: fleet.StageGroup{Pool: "p", Group: 7}, Wait: []time.Duration{0, 1500 * time.Millisecond}}},
 		Suspects: []fleet.Suspect{{Fingerprint: 1 << 63, Crashes: 2}}, Known: []fleet.Member{{ID: "o", Address: "b:2", DataCenter: "y"}},
 		StoreAnswered: time.Now().Add(-time.Minute), Daemons: 7,
+		Parts: []quarantine.PartReport{{Part: 1 << 62, Crashes: []quarantine.PartCrash{{Endpoint: 9, At: time.Now().Add(-2 * time.Second)}, {Endpoint: 1 << 63, At: time.Now().Add(-time.Second)}}, SoundAt: time.Now().Add(-time.Minute)}, {Part: 5}},
 		Limits: []fleet.EndpointLimit{{Endpoint: "e", StartedMs: 77, Observation: ratelimit.Observation{PerSecond: 2.5, SentAt: time.Now().Add(-2 * time.Minute), ReceivedAt: time.Now().Add(-time.Minute)}},
 			{Endpoint: "f", StartedMs: 78, Observation: ratelimit.Observation{PerSecond: ratelimit.Unlimited, SentAt: time.Now().Add(-time.Hour), ReceivedAt: time.Now()}},
 			{Endpoint: "g", Observation: ratelimit.Observation{SentAt: time.Now(), ReceivedAt: time.Now()}}}}
@@ -121,6 +123,19 @@
 		}
 		got.Limits[i].SentAt, got.Limits[i].ReceivedAt = want.SentAt, want.ReceivedAt
 	}
+	for i, p := range got.Parts {
+		want := sent.Parts[i]
+		if d := want.SoundAt.Sub(p.SoundAt).Abs(); d > 10*time.Second {
+			t.Errorf("part %d was sound %v earlier or later", i, d)
+		}
+		got.Parts[i].SoundAt = want.SoundAt
+		for k, c := range p.Crashes {
+			if d := want.Crashes[k].At.Sub(c.At).Abs(); d > 10*time.Second {
+				t.Errorf("crash %d of part %d was %v earlier or later", k, i, d)
+			}
+			p.Crashes[k].At = want.Crashes[k].At
+		}
+	}
 	got.StoreAnswered = sent.StoreAnswered
 	if !reflect.DeepEqual(got, sent) {
 		t.Errorf("arrived %+v", got)
--- a/internal/adapter/telemetry/hosted.go
+++ b/internal/adapter/telemetry/hosted.go
@@ -16,6 +16,7 @@
 	"eelgrassgrade/internal/app/mirror"
 	"eelgrassgrade/internal/app/stagework"
 	"eelgrassgrade/internal/core"
+	"eelgrassgrade/internal/decide/quarantine"
 	"eelgrassgrade/internal/decide/repeats"
 )
 
@@ -196,6 +197,33 @@
 	h.log.Warn().Str("request", string(r.ID)).Int("crashes", crashes).Msg("request_quarantined")
 }
 
+// PartRefused implements forward.Events.
+func (h *HostedRecorder) PartRefused(r *forward.Request, pool core.PoolID, part string, v quarantine.Verdict) {
+	h.set.GetOrCreateCounter(fmt.Sprintf(`eelgrass_part_refusals_total{pool=%q}`, pool)).Inc()
+	h.log.Warn().Str("request", string(r.ID)).Str("pool", string(pool)).Str("part", part).Int("crashes", v.Crashes).
+		Int64("last_crash_ms", v.LastCrash.Milliseconds()).Int64("probe_in_ms", v.Remaining.Milliseconds()).Msg("request_quarantined")
+}
+
+// PartProbed implements forward.Events.
+func (h *HostedRecorder) PartProbed(r *forward.Request, pool core.PoolID) {
+	h.log.Warn().Str("request", string(r.ID)).Str("pool", string(pool)).Msg("part_probed")
+}
+
+// PartChanged implements forward.Events. Parts are logged as the hash that daemons
+// exchange; the request_quarantined lines that follow give the ID.
+func (h *HostedRecorder) PartChanged(c quarantine.PartChange) {
+	what := "ended"
+	if c.Quarantined {
+		what = "began"
+	}
+	h.set.GetOrCreateCounter(fmt.Sprintf(`eelgrass_part_quarantines_total{what=%q}`, what)).Inc()
+	line := h.log.Warn().Str("what", what).Stringer("part_hash", c.Part).Int("crashes", c.Crashes).Int64("last_crash_ms", c.LastCrash.Milliseconds())
+	if c.LastSound >= 0 {
+		line = line.Int64("last_sound_ms", c.LastSound.Milliseconds())
+	}
+	line.Msg("part_quarantine")
+}
+
 // CallStarted implements stagework.Events.
 func (h *HostedRecorder) CallStarted(pool core.PoolID, e core.InstanceID, pieces []stagework.Piece, waiting int, slowFactor float64) {
 	h.set.GetOrCreateCounter(fmt.Sprintf(`eelgrass_stage_calls_total{pool=%q}`, pool)).Inc()
--- a/internal/app/fleet/fleet.go
+++ b/internal/app/fleet/fleet.go
@@ -12,6 +12,7 @@
 	"golang.org/x/time/rate"
 
 	"eelgrassgrade/internal/core"
+	"eelgrassgrade/internal/decide/quarantine"
 	"eelgrassgrade/internal/decide/ratelimit"
 )
 
@@ -152,6 +153,10 @@
 	// that do not list the known daemons.
 	Limits       []EndpointLimit
 	RecentLimits int
+	// Parts lists the parts of prompts that endpoints crashed on. RecentParts, those that
+	// changed lately, takes its place in statuses that do not list the known daemons, and
+	// is not sent itself.
+	Parts, RecentParts []quarantine.PartReport
 	// Daemons is the highest number of daemons that the sender has known to run lately,
 	// see repeats.FleetSize; 0 if it does not say.
 	Daemons int
--- a/internal/app/fleet/status.go
+++ b/internal/app/fleet/status.go
@@ -39,7 +39,7 @@
 func (f *Fleet) Status() *Status { return f.status(false) }
 
 // status implements Status. If newcomer is set, the status always contains the list of
-// known daemons and all limits.
+// known daemons, all limits and all parts.
 func (f *Fleet) status(newcomer bool) *Status {
 	f.mu.Lock()
 	base := f.lastStatus
@@ -61,7 +61,7 @@
 		s.StoreAnswered = f.storeAnswered
 	}
 	if f.statusesSent++; !newcomer && f.now().Sub(f.startedAt) > knownListWarmUp && f.statusesSent%knownListEvery != 1 {
-		s.Limits = s.Limits[:s.RecentLimits]
+		s.Limits, s.Parts = s.Limits[:s.RecentLimits], s.RecentParts
 		return &s
 	}
 	for _, p := range f.peers {
--- a/internal/app/forward/attempt.go
+++ b/internal/app/forward/attempt.go
@@ -12,6 +12,7 @@
 	"eelgrassgrade/internal/decide/catalog"
 	"eelgrassgrade/internal/decide/health"
 	"eelgrassgrade/internal/decide/placement"
+	"eelgrassgrade/internal/decide/quarantine"
 	"eelgrassgrade/internal/decide/repeats"
 )
 
@@ -84,6 +85,12 @@
 	s := &streamRelay{forwarder: f, state: rs, w: w}
 	possibleRuns := 0
 	for try := 1; try <= maxTries; try++ {
+		if err := f.partsError(rs); err != nil {
+			if !rs.mayHaveRun {
+				lastErr = err
+			}
+			break
+		}
 		candidates := f.pickEndpoint(ctx, rs, tried)
 		if err := f.poolClosedError(rs.pool, rs.rank); len(candidates) == 0 && err != nil && !rs.mayHaveRun {
 			lastErr = err
@@ -172,6 +179,7 @@
 // tryEndpoint sends a request to one endpoint and relays its answer.
 func (f *Forwarder) tryEndpoint(ctx context.Context, rs *requestState, c placement.Candidate, s *streamRelay) error {
 	startTime, e := f.now(), c.Endpoint
+	rs.endpointRun = quarantine.RunOf(e.ID, f.view().ByID[e.ID].StartedMs)
 	markFirstEvent, markEnd := f.tracker.requestStarted(e.ID, c.UncachedTokens)
 	defer markEnd()
 	if c.UncachedTokens >= placement.LongPromptTokens {
@@ -201,6 +209,7 @@
 			// the stream breaks off, the stages run again.
 			rs.inputs.releaseAll()
 		}
+		s.onSettled = func() { f.parts.RecordSound(rs.parts, firstEventAt) }
 		if err := s.relay(callCtx, a); err != nil {
 			return f.recordFailure(ctx, rs, e, startTime, firstEventAt, err)
 		}
@@ -208,6 +217,9 @@
 			f.latencies.observeStreamDuration(rs.route.Name, f.now().Sub(firstEventAt))
 		}
 		f.suspects.recordSuccess(rs.fingerprint)
+		if !firstEventAt.IsZero() {
+			f.parts.RecordSound(rs.parts, firstEventAt)
+		}
 		return nil
 	}
 	return f.handleWholeAnswer(ctx, rs, e, s.w, a, startTime)
@@ -262,6 +274,7 @@
 	}
 	if ok {
 		f.suspects.recordSuccess(rs.fingerprint)
+		f.parts.RecordSound(rs.parts, startTime)
 	}
 	f.deliverBuffered(rs, w, a, body)
 	return nil
@@ -270,7 +283,10 @@
 // retryFailedAnswer sends a request whose endpoint answered with a server error to
 // another endpoint. If that fails too, the caller gets the first answer.
 func (f *Forwarder) retryFailedAnswer(ctx context.Context, rs *requestState, w http.ResponseWriter, a *Answer, body []byte) error {
-	candidates := f.pickEndpoint(ctx, rs, map[core.InstanceID]bool{rs.outcome.Endpoint: true})
+	var candidates []placement.Candidate
+	if f.partsError(rs) == nil {
+		candidates = f.pickEndpoint(ctx, rs, map[core.InstanceID]bool{rs.outcome.Endpoint: true})
+	}
 	if len(candidates) > 0 {
 		e := candidates[0].Endpoint
 		rs.outcome.Attempts++
@@ -331,15 +347,18 @@
 	down := err.Step == "connect"
 	if !down && err.Ran != core.RanNot && ctx.Err() == nil {
 		checkCtx, cancel := context.WithTimeout(ctx, reachabilityTimeout)
-		down = !f.endpoints.Reachable(checkCtx, e)
+		reachability := f.endpoints.Reachable(checkCtx, e)
 		cancel()
-		if down {
+		if down = reachability != Reachable; down {
 			f.suspects.recordCrash(rs.fingerprint, e.ID)
 			streaming := time.Duration(-1)
 			if !firstEventAt.IsZero() {
 				streaming = failedAt.Sub(firstEventAt)
 			}
 			f.events.EndpointCrashed(rs.req, rs.pool, e.ID, streaming)
+			if reachability == Refusing && streaming < settleTime {
+				f.parts.RecordCrash(rs.parts, rs.endpointRun, failedAt)
+			}
 		}
 	}
 	f.tracker.observe(rs.pool, e.ID, health.Sample{Kind: health.Unary, Elapsed: f.now().Sub(startTime)}, down)
--- a/internal/app/forward/fake_test.go
+++ b/internal/app/forward/fake_test.go
@@ -17,6 +17,7 @@
 	"eelgrassgrade/internal/app/stagework"
 	"eelgrassgrade/internal/core"
 	"eelgrassgrade/internal/decide/catalog"
+	"eelgrassgrade/internal/decide/quarantine"
 	"eelgrassgrade/internal/decide/repeats"
 )
 
@@ -28,8 +29,9 @@
 	notStarted, inputsGone, forged bool
 	body                           string
 	length                         int64
-	// breaksOff makes reading fail after body.
-	breaksOff bool
+	// breaksOff makes reading fail after body, breakDelay later.
+	breaksOff  bool
+	breakDelay time.Duration
 	// delay is the time from the request to the answer.
 	delay time.Duration
 	// endDelay is the time from body to io.EOF.
@@ -62,8 +64,10 @@
 	pauseEnds map[core.InstanceID]time.Time
 	// limits holds the endpoints that name a limit.
 	limits map[core.InstanceID]*fakeLimit
-	// unreachable makes every reachability check fail.
+	// unreachable makes endpoints refuse connections. reach, if set, is the result of
+	// each check.
 	unreachable bool
+	reach       *Reachability
 }
 
 // fakeLimit is the limit of one endpoint, with the permits that are left and the time
@@ -151,8 +155,14 @@
 	return repeats.Decision{Allowed: p.retriesAllowed}
 }
 
-func (p *fakePlatform) Reachable(context.Context, core.Endpoint) bool {
-	return !p.unreachable
+func (p *fakePlatform) Reachable(context.Context, core.Endpoint) Reachability {
+	if p.reach != nil {
+		return *p.reach
+	}
+	if p.unreachable {
+		return Refusing
+	}
+	return Reachable
 }
 
 func (p *fakePlatform) Send(ctx context.Context, e core.Endpoint, r *EndpointRequest) (*Answer, error) {
@@ -174,7 +184,7 @@
 	}
 	var body io.Reader = strings.NewReader(behavior.body)
 	if behavior.breaksOff {
-		body = io.MultiReader(body, brokenReader{})
+		body = io.MultiReader(body, brokenReader{behavior.breakDelay})
 	}
 	if behavior.endDelay > 0 {
 		body = io.MultiReader(body, &delayedEOF{ctx, behavior.endDelay})
@@ -187,10 +197,13 @@
 		InputsGone: behavior.inputsGone, Genuine: !behavior.forged && !behavior.notStarted}, nil
 }
 
-// brokenReader is a body that breaks off.
-type brokenReader struct{}
+// brokenReader is a body that breaks off after a delay.
+type brokenReader struct{ delay time.Duration }
 
-func (brokenReader) Read([]byte) (int, error) { return 0, io.ErrUnexpectedEOF }
+func (r brokenReader) Read([]byte) (int, error) {
+	time.Sleep(r.delay)
+	return 0, io.ErrUnexpectedEOF
+}
 
 // delayedEOF is an empty body that ends after d, or fails when ctx ends.
 type delayedEOF struct {
@@ -246,7 +259,11 @@
 func (discardEvents) EndpointHealth(core.PoolID, core.InstanceID, bool, string) {}
 func (discardEvents) EndpointCrashed(*Request, core.PoolID, core.InstanceID, time.Duration) {
 }
-func (discardEvents) RequestQuarantined(*Request, int) {}
+func (discardEvents) PartRefused(*Request, core.PoolID, string, quarantine.Verdict) {
+}
+func (discardEvents) PartProbed(*Request, core.PoolID)  {}
+func (discardEvents) PartChanged(quarantine.PartChange) {}
+func (discardEvents) RequestQuarantined(*Request, int)  {}
 
 // callerAnswer is what a caller got, with the results of Forwarder.Serve.
 type callerAnswer struct {
--- a/internal/app/forward/forward.go
+++ b/internal/app/forward/forward.go
@@ -12,6 +12,7 @@
 	"eelgrassgrade/internal/app/fleet"
 	"eelgrassgrade/internal/core"
 	"eelgrassgrade/internal/decide/catalog"
+	"eelgrassgrade/internal/decide/quarantine"
 )
 
 const (
@@ -34,6 +35,8 @@
 	announce    func(fleet.Prefill)
 	tracker     *endpointTracker
 	suspects    *suspects
+	parts       *quarantine.PartSet
+	self        core.InstanceID
 	latencies   *routeLatencies
 	overloads   *overloadTracker
 	active      atomic.Int64
@@ -41,6 +44,8 @@
 
 // Options holds the dependencies of a Forwarder.
 type Options struct {
+	// Self is this daemon's ID.
+	Self core.InstanceID
 	// Catalog returns the current catalog, or nil before the first one is loaded.
 	Catalog func() *catalog.Snapshot
 	// View returns the endpoints that may get work, Fleet what the other daemons have
@@ -67,7 +72,7 @@
 		o.Announce = func(fleet.Prefill) {}
 	}
 	return &Forwarder{announce: o.Announce, catalog: o.Catalog, view: o.View, fleet: o.Fleet, endpoints: o.Endpoints, stages: o.Stages, pausedUntil: o.PausedUntil, limits: o.Limits, budget: o.Budget,
-		events: o.Events, now: o.Now, tracker: newEndpointTracker(o.Now, o.Events), suspects: newSuspects(o.Now), latencies: newRouteLatencies(), overloads: newOverloadTracker()}
+		events: o.Events, now: o.Now, tracker: newEndpointTracker(o.Now, o.Events), suspects: newSuspects(o.Now), parts: quarantine.NewPartSet(o.Now), self: o.Self, latencies: newRouteLatencies(), overloads: newOverloadTracker()}
 }
 
 // SetEndpoints replaces the endpoints whose health is tracked.
@@ -109,7 +114,14 @@
 	// planned. Stage results are best produced there.
 	preferredDataCenter core.DataCenterID
 	fingerprint         uint64
-	inputs              *stageResults
+	// parts are the parts of the prompt that other requests may have too.
+	parts []quarantine.Part
+	// probe is true if the request may be sent once although one of its parts is
+	// quarantined.
+	probe bool
+	// endpointRun is the run of the endpoint that the request was sent to last.
+	endpointRun quarantine.EndpointRun
+	inputs      *stageResults
 	// stageRuns counts how often the stages were run.
 	stageRuns int
 	outcome   Outcome
@@ -197,7 +209,17 @@
 	rs.fingerprint = fingerprint(r, rs.account)
 	if n := f.suspects.crashCount(rs.fingerprint); n >= quarantineThreshold {
 		f.events.RequestQuarantined(r, n)
-		return &core.Error{Kind: core.Unavailable, Step: "quarantine", Ran: core.RanNot, RetryAfter: jitteredRetryAfter(maxRetryAfter), Detail: "refused for now because endpoints crashed while they ran this request"}
+		return &core.Error{Kind: core.Unavailable, Step: quarantineStep, Ran: core.RanNot, RetryAfter: jitteredRetryAfter(maxRetryAfter), Detail: "refused for now because endpoints crashed while they ran this request"}
+	}
+	rs.parts = sharedParts(rs.pool, r.Prompt)
+	v := f.parts.Check(rs.parts, f.probesPart)
+	if rs.probe = v.Probe; v.Probe {
+		f.events.PartProbed(r, rs.pool)
+	}
+	if v.Index >= 0 {
+		err := f.partRefusal(rs, v)
+		err.RetryAfter = jitteredRetryAfter(err.RetryAfter)
+		return err
 	}
 	return nil
 }
--- /dev/null
+++ b/internal/app/forward/parts.go
@@ -0,0 +1,74 @@
+package forward
+
+import (
+	"time"
+
+	"eelgrassgrade/internal/core"
+	"eelgrassgrade/internal/decide/placement"
+	"eelgrassgrade/internal/decide/quarantine"
+)
+
+const (
+	// settleTime is how long an answer must go on after its first data until its prompt
+	// counts as sound. A part that crashes engines does so when they begin an answer.
+	settleTime = 300 * time.Millisecond
+	// quarantineStep is the step of errors of requests that are refused because endpoints
+	// crashed with them.
+	quarantineStep = "quarantine"
+	// maxCheckedParts bounds the parts of one prompt that are checked.
+	maxCheckedParts = 64
+)
+
+// sharedParts returns the parts of a prompt that other requests may have too: all but
+// the last, which belongs to the request or its session.
+func sharedParts(pool core.PoolID, prompt []placement.Part) []quarantine.Part {
+	if len(prompt) < 2 {
+		return nil
+	}
+	shared := prompt[:min(len(prompt)-1, maxCheckedParts)]
+	parts := make([]quarantine.Part, len(shared))
+	for i, p := range shared {
+		parts[i] = quarantine.PartOf(pool, p.ID)
+	}
+	return parts
+}
+
+// probesPart reports whether this daemon is the one that finds out whether a quarantined
+// part is sound by now. All daemons that see the same members agree.
+func (f *Forwarder) probesPart(p quarantine.Part) bool {
+	ranked := f.fleet().Ranked(p.String(), "")
+	return len(ranked) > 0 && ranked[0].ID == f.self
+}
+
+// partsError returns the error of a request that may not be sent now because of a part
+// of its prompt, or nil. A request that is a probe may be sent once.
+func (f *Forwarder) partsError(rs *requestState) *core.Error {
+	if rs.probe {
+		rs.probe = false
+		return nil
+	}
+	v := f.parts.Check(rs.parts, func(quarantine.Part) bool { return false })
+	if v.Index < 0 {
+		return nil
+	}
+	return f.partRefusal(rs, v)
+}
+
+// partRefusal returns the error of a request with a quarantined part.
+func (f *Forwarder) partRefusal(rs *requestState, v quarantine.Verdict) *core.Error {
+	f.events.PartRefused(rs.req, rs.pool, rs.req.Prompt[v.Index].ID, v)
+	return &core.Error{Kind: core.Unavailable, Step: quarantineStep, Ran: core.RanNot, RetryAfter: v.Remaining,
+		Detail: "refused for now because endpoints crash when they answer on a part of its prompt"}
+}
+
+// PartReports returns, for the other daemons, what this daemon knows of parts that
+// endpoints crashed on: all of it, and what changed lately.
+func (f *Forwarder) PartReports() (all, recent []quarantine.PartReport) {
+	for _, c := range f.parts.Changes() {
+		f.events.PartChanged(c)
+	}
+	return f.parts.Report(true), f.parts.Report(false)
+}
+
+// MergeParts adds what another daemon reports.
+func (f *Forwarder) MergeParts(reports []quarantine.PartReport) { f.parts.Merge(reports) }
--- a/internal/app/forward/ports.go
+++ b/internal/app/forward/ports.go
@@ -16,6 +16,7 @@
 	"eelgrassgrade/internal/core"
 	"eelgrassgrade/internal/decide/catalog"
 	"eelgrassgrade/internal/decide/placement"
+	"eelgrassgrade/internal/decide/quarantine"
 	"eelgrassgrade/internal/decide/repeats"
 )
 
@@ -93,9 +94,20 @@
 	// endpoint.
 	Send(ctx context.Context, e core.Endpoint, r *EndpointRequest) (*Answer, error)
 	// Reachable reports whether the endpoint accepts connections.
-	Reachable(ctx context.Context, e core.Endpoint) bool
+	Reachable(ctx context.Context, e core.Endpoint) Reachability
 }
 
+// Reachability says whether an endpoint accepts connections.
+type Reachability int
+
+const (
+	// Unreachable endpoints do not respond, for example because the network fails.
+	Unreachable Reachability = iota
+	// Refusing endpoints have ended: their machine refuses connections.
+	Refusing
+	Reachable
+)
+
 // Stages runs the stages of requests.
 type Stages interface {
 	// Run runs all pieces of one stage and returns their results.
@@ -203,4 +215,12 @@
 	// RequestQuarantined reports that a request was refused because its content has
 	// crashed endpoints.
 	RequestQuarantined(r *Request, crashes int)
+	// PartRefused reports that a request was not sent because endpoints crash on a part
+	// of its prompt.
+	PartRefused(r *Request, pool core.PoolID, part string, v quarantine.Verdict)
+	// PartProbed reports that a request is sent to find out whether a quarantined part of
+	// its prompt is sound by now.
+	PartProbed(r *Request, pool core.PoolID)
+	// PartChanged reports that the quarantine of a part began or ended.
+	PartChanged(c quarantine.PartChange)
 }
--- a/internal/app/forward/stream.go
+++ b/internal/app/forward/stream.go
@@ -41,6 +41,9 @@
 	w         http.ResponseWriter
 	// onFirstEvent is called when the first data of an endpoint arrives.
 	onFirstEvent func()
+	// onSettled is called once when data arrives settleTime or more after an endpoint's
+	// first data. It may be nil.
+	onSettled func()
 	// lastEventID is the ID of the last event that was sent to the caller.
 	lastEventID string
 }
@@ -61,7 +64,8 @@
 	chunks := readChunks(ctx, a.Body)
 	var partial []byte
 	firstSeen := false
-	var lastReadAt time.Time
+	var firstReadAt, lastReadAt time.Time
+	settled := s.onSettled == nil
 	// lastEventAt is when the last event was sent to the caller. Comments and parts of
 	// events don't count: an endpoint that sends nothing else has stalled too.
 	lastEventAt := s.forwarder.now()
@@ -72,7 +76,7 @@
 		}
 		now := s.forwarder.now()
 		if len(c.data) > 0 && !firstSeen {
-			firstSeen = true
+			firstSeen, firstReadAt = true, now
 			s.onFirstEvent()
 		} else if firstSeen {
 			s.state.outcome.LongestGap = max(s.state.outcome.LongestGap, now.Sub(lastReadAt))
@@ -81,6 +85,10 @@
 			}
 		}
 		lastReadAt = now
+		if !settled && firstSeen && c.err == nil && now.Sub(firstReadAt) >= settleTime {
+			settled = true
+			s.onSettled()
+		}
 		data := c.data
 		if resumable {
 			partial = append(partial, c.data...)
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -101,7 +101,7 @@
 	stageBudgets := newStageBudgets(d.budgets.limits, func(id core.PoolID) int { return d.stageClient.GroupCount(id) })
 	d.coordinator = stagework.NewCoordinator(ctx, calls, d.endpoints.PausedUntil, d.limits, d.telemetry, stageBudgets, time.Now)
 	d.stageClient = stagework.NewClient(d.fleet, self, d.coordinator, d.rpc, d.telemetry, time.Now)
-	d.forward = forward.New(forward.Options{Catalog: d.catalog.Load, View: d.endpoints.View, Fleet: d.fleet.View, Endpoints: calls,
+	d.forward = forward.New(forward.Options{Self: self.ID, Catalog: d.catalog.Load, View: d.endpoints.View, Fleet: d.fleet.View, Endpoints: calls,
 		Stages: d.stageClient, PausedUntil: d.endpoints.PausedUntil, Limits: d.limits, Budget: d.budgets, Events: d.telemetry, Now: time.Now, Announce: d.fleet.Announce})
 	d.configTable = mirror.NewTable(platform.OperatorTable, d.configTableChanged)
 	d.endpointTable = mirror.NewTable(platform.EndpointTable, d.endpointTableChanged)
@@ -119,6 +119,7 @@
 // status implements fleet.Source.
 func (d *Daemon) status() *fleet.Status {
 	s := &fleet.Status{Tables: map[string]int64{}, Loads: d.forward.Loads(), Suspects: d.forward.Suspects()}
+	s.Parts, s.RecentParts = d.forward.PartReports()
 	s.Limits, s.RecentLimits = d.limits.Reported()
 	_, s.Daemons = d.observeFleetSize()
 	for _, t := range d.tables() {
@@ -137,6 +138,7 @@
 // reports.
 func (d *Daemon) learnFromStatus(s *fleet.Status) {
 	d.forward.MergeSuspects(s.Member.ID, s.Suspects)
+	d.forward.MergeParts(s.Parts)
 	d.limits.MergeReported(s.Member.ID, s.Limits)
 }
 
