Treat a stream that ends within an event as broken off

An endpoint that fails then ends its stream without an error.

Cause: the end of the connection was taken for the end of the stream, and what there was of an event was sent on. The caller got a stream that looked complete.

Change: such an end within an event is a failure. A resumable stream goes on at another endpoint after its last whole event; any other is cut.

--- a/internal/app/forward/stream.go
+++ b/internal/app/forward/stream.go
@@ -63,6 +63,7 @@
 	defer cancel()
 	chunks := readChunks(ctx, a.Body)
 	var partial []byte
+	var ending eventEnding
 	firstSeen := false
 	var firstReadAt, lastReadAt time.Time
 	settled := s.onSettled == nil
@@ -93,22 +94,24 @@
 		if resumable {
 			partial = append(partial, c.data...)
 			n := endOfLastEvent(partial)
-			if c.err == io.EOF {
-				n = len(partial)
-			}
 			data = append([]byte(nil), partial[:n]...)
 			partial = append(partial[:0], partial[n:]...)
 			if len(partial) > maxPartialEventBytes {
 				return s.streamError("an event is larger than the buffer for one event", nil)
 			}
 		}
-		if err := s.write(a, data, c.err == io.EOF); err != nil {
+		ending.add(c.data)
+		if err := s.write(a, data, c.err == io.EOF && ending.complete()); err != nil {
 			return err
 		}
 		if findLastEventID(data) != "" {
 			lastEventAt = s.forwarder.now()
 		}
 		switch {
+		case c.err == io.EOF && !ending.complete():
+			// An answer without a length ends with its connection, also if its endpoint
+			// fails.
+			return s.streamError("the endpoint's stream ended within an event", io.ErrUnexpectedEOF)
 		case c.err == io.EOF:
 			return nil
 		case c.err != nil:
@@ -213,6 +216,21 @@
 	return &core.Error{Kind: core.Upstream, Step: "stream", Peer: string(s.state.outcome.Endpoint), Detail: detail, Err: err}
 }
 
+// eventEnding holds the last bytes of a stream, which tell whether it ends with a whole
+// event.
+type eventEnding struct{ tail []byte }
+
+func (e *eventEnding) add(data []byte) {
+	const longest = len("\r\n\r\n")
+	e.tail = append(e.tail, data[max(len(data)-longest, 0):]...)
+	e.tail = append([]byte(nil), e.tail[max(len(e.tail)-longest, 0):]...)
+}
+
+// complete reports whether the stream is empty or ends with a whole event.
+func (e *eventEnding) complete() bool {
+	return len(e.tail) == 0 || endOfLastEvent(e.tail) == len(e.tail)
+}
+
 // endOfLastEvent returns the length of data up to the end of the last whole event.
 func endOfLastEvent(data []byte) int {
 	n := 0
