Continue a stream only with the same kind of answer

Here: an error with its status, a refusal, or an answer without the endpoint's mark never reached the caller. An error that the endpoint marks as a success of another content type did: 'HTTP/1.1 500 Internal Server Error' after the first event.

Change: an answer continues a stream only if its content type is that of the answer that began.

--- a/internal/app/forward/attempt.go
+++ b/internal/app/forward/attempt.go
@@ -196,7 +196,7 @@
 		return f.recordFailure(ctx, rs, e, startTime, time.Time{}, core.AsError(err, "send"))
 	}
 	defer a.Body.Close()
-	if rs.route.Stream && a.Genuine && a.Status == http.StatusOK {
+	if rs.route.Stream && a.Genuine && a.Status == http.StatusOK && !rs.cannotContinue(a) {
 		resumed := s.lastEventID != ""
 		var firstEventAt time.Time
 		s.onFirstEvent = func() {
@@ -246,7 +246,7 @@
 	switch {
 	case rs.answerStarted:
 		// The caller has part of a stream, and only a stream can continue it.
-		return &core.Error{Kind: core.Upstream, Step: "resume", Peer: string(e.ID), Ran: core.RanYes, Detail: "the endpoint did not resume the stream: status " + strconv.Itoa(a.Status)}
+		return &core.Error{Kind: core.Upstream, Step: "resume", Peer: string(e.ID), Ran: core.RanYes, Detail: "the endpoint did not resume the stream: status " + strconv.Itoa(a.Status) + ", content type " + strconv.Quote(a.Header.Get("Content-Type"))}
 	case !a.Genuine:
 		return f.recordFailure(ctx, rs, e, startTime, time.Time{}, &core.Error{Kind: core.Upstream, Step: "answer", Peer: string(e.ID), Detail: "the answer is not marked as the endpoint's answer to this request"})
 	}
--- a/internal/app/forward/fake_test.go
+++ b/internal/app/forward/fake_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"io"
+	"maps"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -25,6 +26,7 @@
 type endpointBehavior struct {
 	err    *core.Error
 	status int
+	header http.Header
 	// notStarted and inputsGone are set in the answer; forged answers are not Genuine.
 	notStarted, inputsGone, forged bool
 	body                           string
@@ -193,7 +195,9 @@
 	if status == 0 {
 		status = http.StatusOK
 	}
-	return &Answer{Status: status, Header: http.Header{"X-From": {string(e.ID)}}, Body: io.NopCloser(body), Length: behavior.length, NotStarted: behavior.notStarted,
+	header := http.Header{"X-From": {string(e.ID)}}
+	maps.Copy(header, behavior.header)
+	return &Answer{Status: status, Header: header, Body: io.NopCloser(body), Length: behavior.length, NotStarted: behavior.notStarted,
 		InputsGone: behavior.inputsGone, Genuine: !behavior.forged && !behavior.notStarted}, nil
 }
 
--- a/internal/app/forward/forward.go
+++ b/internal/app/forward/forward.go
@@ -133,6 +133,8 @@
 	mayHaveRun bool
 	// answerStarted is true if the answer's status and header were sent to the caller.
 	answerStarted bool
+	// contentType is the content type of the answer that was started.
+	contentType string
 }
 
 // Serve runs a request and writes its answer to w. If it returns an error and cut
--- a/internal/app/forward/pause_test.go
+++ b/internal/app/forward/pause_test.go
@@ -36,7 +36,9 @@
 func TestPausedPoolRefusesImmediately(t *testing.T) {
 	for _, route := range []string{"once", "safe", "staged"} {
 		withFakePlatform(t, 2, func(p *fakePlatform) {
-			p.respond = func(core.Endpoint, *EndpointRequest, int) endpointBehavior { return endpointBehavior{body: "id: 1\ndata: done\n\n"} }
+			p.respond = func(core.Endpoint, *EndpointRequest, int) endpointBehavior {
+				return endpointBehavior{body: "id: 1\ndata: done\n\n"}
+			}
 			began := time.Now()
 			p.pauseEnds = map[core.InstanceID]time.Time{"e0": began.Add(4 * time.Second), "e1": began.Add(5 * time.Second)}
 			got := p.serve(context.Background(), route, onePiecePerStage)
@@ -62,7 +64,9 @@
 // endpoints, and against a refusal because of a stage that the request does not use.
 func TestStageWithoutEndpointsRefusesImmediately(t *testing.T) {
 	withFakePlatform(t, 1, func(p *fakePlatform) {
-		p.respond = func(core.Endpoint, *EndpointRequest, int) endpointBehavior { return endpointBehavior{body: "id: 1\ndata: done\n\n"} }
+		p.respond = func(core.Endpoint, *EndpointRequest, int) endpointBehavior {
+			return endpointBehavior{body: "id: 1\ndata: done\n\n"}
+		}
 		p.view.ByPool["s"] = nil
 		began := time.Now()
 		got := p.serve(context.Background(), "staged", onePiecePerStage)
--- a/internal/app/forward/stream.go
+++ b/internal/app/forward/stream.go
@@ -195,7 +195,7 @@
 			s.w.Header()[k] = v
 		}
 		rs.answerStarted = true
-		rs.outcome.Status = a.Status
+		rs.outcome.Status, rs.contentType = a.Status, a.Header.Get("Content-Type")
 		rs.outcome.FirstByte = s.forwarder.now().Sub(rs.req.Arrived)
 		s.w.WriteHeader(a.Status)
 	}
@@ -211,6 +211,12 @@
 	return nil
 }
 
+// cannotContinue reports whether an answer is no continuation of the stream that the caller
+// has begun to get: some endpoints mark the text of an error as a success.
+func (rs *requestState) cannotContinue(a *Answer) bool {
+	return rs.answerStarted && a.Header.Get("Content-Type") != rs.contentType
+}
+
 // streamError returns the error of a stream that failed at its present endpoint.
 func (s *streamRelay) streamError(detail string, err error) *core.Error {
 	return &core.Error{Kind: core.Upstream, Step: "stream", Peer: string(s.state.outcome.Endpoint), Detail: detail, Err: err}
