Move the counts of crashing contents to decide/quarantine

No behaviour changes. Which requests are refused after crashes is decided in one package without I/O now: contents of dispatched requests (Set), contents of forwarded requests (Contents, from app/forward) and parts of prompts (PartSet). The first two stay apart: dispatch isolates suspects on endpoints of their own, which a content that comes at any daemon with one bound over all cannot wait for.

--- a/internal/adapter/fleetrpc/convert.go
+++ b/internal/adapter/fleetrpc/convert.go
@@ -71,7 +71,7 @@
 		out.Waits = append(out.Waits, p)
 	}
 	for _, x := range s.GetSuspects() {
-		out.Suspects = append(out.Suspects, fleet.Suspect{Fingerprint: x.GetFingerprint(), Crashes: int(x.GetCrashes())})
+		out.Suspects = append(out.Suspects, quarantine.ContentReport{Fingerprint: x.GetFingerprint(), Crashes: int(x.GetCrashes())})
 	}
 	for _, l := range s.GetLimits() {
 		out.Limits = append(out.Limits, limitFromPB(now, l))
--- a/internal/adapter/fleetrpc/fleetrpc_test.go
+++ b/internal/adapter/fleetrpc/fleetrpc_test.go
@@ -99,7 +99,7 @@
 	d, c := startDaemon(t), NewClient(time.Now)
 	sent := &fleet.Status{Member: fleet.Member{ID: "me", Address: "a:1", DataCenter: "x", Millicores: 192, GrantsPermits: true}, Incarnation: 5, Leaving: true, Tables: map[string]int64{"t": 3},
 		Loads: []fleet.EndpointLoad{{Endpoint: "e", Running: 2, PrefillTokens: 9000, Failing: true}}, Waits: []fleet.GroupWait{{StageGroup: fleet.StageGroup{Pool: "p", Group: 7}, Wait: []time.Duration{0, 1500 * time.Millisecond}}},
-		Suspects: []fleet.Suspect{{Fingerprint: 1 << 63, Crashes: 2}}, Known: []fleet.Member{{ID: "o", Address: "b:2", DataCenter: "y"}},
+		Suspects: []quarantine.ContentReport{{Fingerprint: 1 << 63, Crashes: 2}}, Known: []fleet.Member{{ID: "o", Address: "b:2", DataCenter: "y"}},
 		StoreAnswered: time.Now().Add(-time.Minute), Daemons: 7,
 		Parts: []quarantine.PartReport{{Part: 1 << 62, Crashes: []quarantine.PartCrash{{Endpoint: 9, At: time.Now().Add(-2 * time.Second)}, {Endpoint: 1 << 63, At: time.Now().Add(-time.Second)}}, SoundAt: time.Now().Add(-time.Minute)}, {Part: 5}},
 		Limits: []fleet.EndpointLimit{{Endpoint: "e", StartedMs: 77, Observation: ratelimit.Observation{PerSecond: 2.5, SentAt: time.Now().Add(-2 * time.Minute), ReceivedAt: time.Now().Add(-time.Minute)}},
--- a/internal/app/fleet/fleet.go
+++ b/internal/app/fleet/fleet.go
@@ -122,12 +122,6 @@
 	Wait []time.Duration
 }
 
-// Suspect identifies request content that may crash endpoints.
-type Suspect struct {
-	Fingerprint uint64
-	Crashes     int
-}
-
 // EndpointLimit is a limit that an endpoint has named, or has ceased to name.
 type EndpointLimit struct {
 	Endpoint core.InstanceID
@@ -147,7 +141,7 @@
 	Tables   map[string]int64
 	Loads    []EndpointLoad
 	Waits    []GroupWait
-	Suspects []Suspect
+	Suspects []quarantine.ContentReport
 	// Limits lists the limits that endpoints have named, those that changed last first.
 	// The first RecentLimits of them changed lately. The others are left out of statuses
 	// that do not list the known daemons.
--- a/internal/app/forward/attempt.go
+++ b/internal/app/forward/attempt.go
@@ -167,7 +167,7 @@
 		reason, allowed = "the answer began", false
 	case possibleRuns >= max(rs.route.Attempts, 1):
 		reason, allowed = "attempts of the route are spent", false
-	case f.suspects.crashCount(rs.fingerprint) >= quarantineThreshold:
+	case f.contents.CrashCount(rs.fingerprint) >= quarantine.ContentCrashes:
 		reason, allowed = "crashes endpoints", false
 	default:
 		reason, allowed = "failed and may run again", takeRetry()
@@ -216,7 +216,7 @@
 		if !resumed && !firstEventAt.IsZero() {
 			f.latencies.observeStreamDuration(rs.route.Name, f.now().Sub(firstEventAt))
 		}
-		f.suspects.recordSuccess(rs.fingerprint)
+		f.contents.RecordSuccess(rs.fingerprint)
 		if !firstEventAt.IsZero() {
 			f.parts.RecordSound(rs.parts, firstEventAt)
 		}
@@ -273,7 +273,7 @@
 		}
 	}
 	if ok {
-		f.suspects.recordSuccess(rs.fingerprint)
+		f.contents.RecordSuccess(rs.fingerprint)
 		f.parts.RecordSound(rs.parts, startTime)
 	}
 	f.deliverBuffered(rs, w, a, body)
@@ -350,7 +350,7 @@
 		reachability := f.endpoints.Reachable(checkCtx, e)
 		cancel()
 		if down = reachability != Reachable; down {
-			f.suspects.recordCrash(rs.fingerprint, e.ID)
+			f.contents.RecordCrash(rs.fingerprint, e.ID)
 			streaming := time.Duration(-1)
 			if !firstEventAt.IsZero() {
 				streaming = failedAt.Sub(firstEventAt)
--- a/internal/app/forward/forward.go
+++ b/internal/app/forward/forward.go
@@ -34,7 +34,7 @@
 	now         func() time.Time
 	announce    func(fleet.Prefill)
 	tracker     *endpointTracker
-	suspects    *suspects
+	contents    *quarantine.Contents
 	parts       *quarantine.PartSet
 	self        core.InstanceID
 	latencies   *routeLatencies
@@ -72,7 +72,7 @@
 		o.Announce = func(fleet.Prefill) {}
 	}
 	return &Forwarder{announce: o.Announce, catalog: o.Catalog, view: o.View, fleet: o.Fleet, endpoints: o.Endpoints, stages: o.Stages, pausedUntil: o.PausedUntil, limits: o.Limits, budget: o.Budget,
-		events: o.Events, now: o.Now, tracker: newEndpointTracker(o.Now, o.Events), suspects: newSuspects(o.Now), parts: quarantine.NewPartSet(o.Now), self: o.Self, latencies: newRouteLatencies(), overloads: newOverloadTracker()}
+		events: o.Events, now: o.Now, tracker: newEndpointTracker(o.Now, o.Events), contents: quarantine.NewContents(o.Now), parts: quarantine.NewPartSet(o.Now), self: o.Self, latencies: newRouteLatencies(), overloads: newOverloadTracker()}
 }
 
 // SetEndpoints replaces the endpoints whose health is tracked.
@@ -87,11 +87,11 @@
 
 // Suspects returns, for the other daemons, the request contents with which this
 // daemon saw endpoints crash.
-func (f *Forwarder) Suspects() []fleet.Suspect { return f.suspects.report() }
+func (f *Forwarder) Suspects() []quarantine.ContentReport { return f.contents.Report() }
 
 // MergeSuspects adds the suspects that another daemon reports.
-func (f *Forwarder) MergeSuspects(from core.InstanceID, list []fleet.Suspect) {
-	f.suspects.merge(from, list)
+func (f *Forwarder) MergeSuspects(from core.InstanceID, list []quarantine.ContentReport) {
+	f.contents.Merge(from, list)
 }
 
 // requestState is the state of one request in progress.
@@ -209,7 +209,7 @@
 		rs.targetStart = r.Arrived.Add(t)
 	}
 	rs.fingerprint = fingerprint(r, rs.account)
-	if n := f.suspects.crashCount(rs.fingerprint); n >= quarantineThreshold {
+	if n := f.contents.CrashCount(rs.fingerprint); n >= quarantine.ContentCrashes {
 		f.events.RequestQuarantined(r, n)
 		return &core.Error{Kind: core.Unavailable, Step: quarantineStep, Ran: core.RanNot, RetryAfter: jitteredRetryAfter(maxRetryAfter), Detail: "refused for now because endpoints crashed while they ran this request"}
 	}
--- a/internal/app/forward/forward_test.go
+++ b/internal/app/forward/forward_test.go
@@ -9,6 +9,7 @@
 	"eelgrassgrade/internal/app/fleet"
 	"eelgrassgrade/internal/core"
 	"eelgrassgrade/internal/decide/placement"
+	"eelgrassgrade/internal/decide/quarantine"
 )
 
 // Guards against refused callers that return while an overload of several seconds still
@@ -490,7 +491,7 @@
 		for range 6 {
 			p.serve(context.Background(), "safe", nil)
 		}
-		if n := len(p.sentTo); n != quarantineThreshold {
+		if n := len(p.sentTo); n != quarantine.ContentCrashes {
 			t.Errorf("the content reached %d endpoints", n)
 		}
 		got := p.serve(context.Background(), "safe", nil)
@@ -517,30 +518,6 @@
 	})
 }
 
-// Guards against suspects that other daemons do not learn of, and against counting a
-// repeated report twice.
-func TestSuspectsAreShared(t *testing.T) {
-	local, remote := newSuspects(time.Now), newSuspects(time.Now)
-	local.recordCrash(7, "e1")
-	local.recordCrash(7, "e1")
-	for range 3 {
-		remote.merge("d1", local.report())
-	}
-	if n := remote.crashCount(7); n != 1 {
-		t.Errorf("the other daemon counts %d crashes of one endpoint", n)
-	}
-	remote.recordCrash(7, "e2")
-	if n := remote.crashCount(7); n != 2 {
-		t.Errorf("%d crashes counted, want 2", n)
-	}
-	for i := range maxSuspects + 10 {
-		local.recordCrash(uint64(100+i), "e")
-	}
-	if len(local.byFingerprint) > maxSuspects || len(local.report()) > maxReportedSuspects {
-		t.Errorf("%d suspects kept, %d reported", len(local.byFingerprint), len(local.report()))
-	}
-}
-
 // Guards against a route's priority that outweighs an account's priority.
 func TestCombinedRank(t *testing.T) {
 	last := -1
