Blame the part furthest behind when nothing else tells parts apart

What callers saw: nothing; found by random fleets with restarts and cuts added (TestFleetsFindTheGuiltyPart): a daemon without peers that had just started refused 29 of 34 sound requests, for the first part that they share with the guilty requests.

Cause: after a restart no part is known to be sound, and the shared part and the guilty one have the same crashes, so neither explained the other's.

Change: of parts with the same crashes, of which none was sound more recently, the one furthest behind in the prompt is the likelier one; fewer other requests share it. If it is innocent, the other has more crashes after the next request with another such part. Reports carry the position.

--- a/internal/adapter/fleetrpc/convert.go
+++ b/internal/adapter/fleetrpc/convert.go
@@ -93,7 +93,7 @@
 }
 
 func partToPB(now time.Time, p quarantine.PartReport) *fleetpb.PartReport {
-	out := &fleetpb.PartReport{Part: uint64(p.Part)}
+	out := &fleetpb.PartReport{Part: uint64(p.Part), Depth: uint32(p.Depth)}
 	for _, c := range p.Crashes {
 		out.Endpoints = append(out.Endpoints, uint64(c.Endpoint))
 		out.CrashedAgoMs = append(out.CrashedAgoMs, millisecondsAgo(now, c.At))
@@ -108,7 +108,7 @@
 // partFromPB ignores endpoints without a time.
 func partFromPB(now time.Time, p *fleetpb.PartReport) quarantine.PartReport {
 	ago := func(ms uint32) time.Time { return now.Add(-time.Duration(ms) * time.Millisecond) }
-	out := quarantine.PartReport{Part: quarantine.Part(p.GetPart())}
+	out := quarantine.PartReport{Part: quarantine.Part(p.GetPart()), Depth: int(p.GetDepth())}
 	for i, ms := range p.GetCrashedAgoMs() {
 		if i < len(p.GetEndpoints()) {
 			out.Crashes = append(out.Crashes, quarantine.PartCrash{Endpoint: quarantine.EndpointRun(p.GetEndpoints()[i]), At: ago(ms)})
--- a/internal/decide/quarantine/parts.go
+++ b/internal/decide/quarantine/parts.go
@@ -91,6 +91,8 @@
 	// SoundAt is when the last answer on the part began that went on; zero if there was
 	// none.
 	SoundAt time.Time
+	// Depth is the position of the part in the prompts, 0 for the first part.
+	Depth int
 }
 
 // Verdict says whether a request may be sent, and why not.
@@ -136,6 +138,9 @@
 }
 
 type partRecord struct {
+	part Part
+	// depth is the position of the part in the prompts of the requests that crashes ended.
+	depth int
 	// crashes holds the crashes after soundAt, the oldest first.
 	crashes []PartCrash
 	// soundAt is when the last answer on the part began that a daemon has seen going on,
@@ -155,13 +160,13 @@
 	return &PartSet{now: now, parts: map[Part]*partRecord{}, sound: map[Part]time.Time{}}
 }
 
-// RecordCrash records that an endpoint crashed at a time while it had a request with
-// the parts whose answer had not begun, or only just.
+// RecordCrash records that an endpoint crashed at a time while it had a request whose
+// answer had not begun, or only just. parts are those of its prompt in their order.
 func (s *PartSet) RecordCrash(parts []Part, e EndpointRun, at time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	for _, p := range parts {
-		s.addCrash(p, PartCrash{e, at})
+	for depth, p := range parts {
+		s.addCrash(p, depth, PartCrash{e, at})
 	}
 }
 
@@ -272,7 +277,7 @@
 	var reports []PartReport
 	for _, p := range known[:min(len(known), maxReportedParts)] {
 		r := s.parts[p]
-		reports = append(reports, PartReport{p, slices.Clone(r.crashes[max(len(r.crashes)-maxReportedCrashes, 0):]), r.ownSoundAt})
+		reports = append(reports, PartReport{p, slices.Clone(r.crashes[max(len(r.crashes)-maxReportedCrashes, 0):]), r.ownSoundAt, r.depth})
 	}
 	return reports
 }
@@ -283,7 +288,7 @@
 	defer s.mu.Unlock()
 	for _, x := range reports {
 		for _, c := range x.Crashes {
-			s.addCrash(x.Part, c)
+			s.addCrash(x.Part, x.Depth, c)
 		}
 		if r := s.parts[x.Part]; r != nil {
 			r.clearUntil(x.SoundAt, s.now())
@@ -293,7 +298,7 @@
 
 // addCrash adds a crash to a part unless it is known or an answer on the part began
 // since. The caller holds mu.
-func (s *PartSet) addCrash(p Part, c PartCrash) {
+func (s *PartSet) addCrash(p Part, depth int, c PartCrash) {
 	now := s.now()
 	if now.Sub(c.At) >= partTTL {
 		return
@@ -307,12 +312,13 @@
 		if len(s.parts) >= maxParts {
 			s.evict(now)
 		}
-		r = &partRecord{soundAt: sound, ownSoundAt: sound}
+		r = &partRecord{part: p, soundAt: sound, ownSoundAt: sound}
 		s.parts[p] = r
 	}
 	if !c.At.After(r.soundAt) {
 		return
 	}
+	r.depth = max(r.depth, depth)
 	if i := r.crashIndex(c); i >= 0 {
 		// The first report is the nearest to the crash.
 		if c.At.Before(r.crashes[i].At) {
@@ -385,12 +391,12 @@
 
 // likelierThan reports whether a part is more likely than another one to be the cause of
 // crashes that both have: it has been sound less recently or, of two that have been
-// sound equally recently or never, it has more crashes.
+// sound equally recently or never, it has more crashes. If these are equal too, it is
+// the part further behind in the prompt, which fewer other requests share. Should it be
+// innocent, the other one has more crashes after the next request with another such part.
 func (r *partRecord) likelierThan(other *partRecord) bool {
-	if c := r.soundAt.Compare(other.soundAt); c != 0 {
-		return c < 0
-	}
-	return len(r.crashes) > len(other.crashes)
+	return cmp.Or(other.soundAt.Compare(r.soundAt), cmp.Compare(len(r.crashes), len(other.crashes)), cmp.Compare(r.depth, other.depth),
+		cmp.Compare(r.part, other.part)) > 0
 }
 
 func (r *partRecord) hasCrash(c PartCrash) bool { return r.crashIndex(c) >= 0 }
