Bound the cost of reporting parts that endpoints crashed on

A full report sorted all parts that a daemon keeps for each status, up to 20 times a second. It is used again for 0.3 s now, and parts that were cleared are forgotten after 30 s.

--- a/internal/decide/quarantine/parts.go
+++ b/internal/decide/quarantine/parts.go
@@ -47,6 +47,12 @@
 	maxReportedParts   = 24
 	maxReportedCrashes = 4
 	recentChange       = 3 * time.Second
+	// fullReportInterval is the time for which a full report is used again. Sorting
+	// maxParts parts for each status would take a few hundredths of a small core.
+	fullReportInterval = 300 * time.Millisecond
+	// clearedTTL is how long a part without crashes is kept, so that all daemons learn
+	// that it is cleared.
+	clearedTTL = 30 * time.Second
 )
 
 // Part identifies a part of prompts that are sent to a pool.
@@ -135,6 +141,9 @@
 	// sound and olderSound hold when the last answer on a part began that this daemon
 	// has seen going on. When sound is full, it replaces olderSound.
 	sound, olderSound map[Part]time.Time
+	// fullReport is the last report of all parts, made at fullReportAt.
+	fullReport   []PartReport
+	fullReportAt time.Time
 }
 
 type partRecord struct {
@@ -263,21 +272,25 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := s.now()
+	if all && now.Sub(s.fullReportAt) < fullReportInterval {
+		return s.fullReport
+	}
 	s.expire(now)
-	var known []Part
-	for p, r := range s.parts {
+	var known []*partRecord
+	for _, r := range s.parts {
 		if all || now.Sub(r.changed) < recentChange {
-			known = append(known, p)
+			known = append(known, r)
 		}
 	}
-	slices.SortFunc(known, func(a, b Part) int {
-		ra, rb := s.parts[a], s.parts[b]
-		return cmp.Or(cmp.Compare(rb.moments(), ra.moments()), rb.changed.Compare(ra.changed), cmp.Compare(a, b))
+	slices.SortFunc(known, func(a, b *partRecord) int {
+		return cmp.Or(cmp.Compare(len(b.crashes), len(a.crashes)), b.changed.Compare(a.changed), cmp.Compare(a.part, b.part))
 	})
 	var reports []PartReport
-	for _, p := range known[:min(len(known), maxReportedParts)] {
-		r := s.parts[p]
-		reports = append(reports, PartReport{p, slices.Clone(r.crashes[max(len(r.crashes)-maxReportedCrashes, 0):]), r.ownSoundAt, r.depth})
+	for _, r := range known[:min(len(known), maxReportedParts)] {
+		reports = append(reports, PartReport{r.part, slices.Clone(r.crashes[max(len(r.crashes)-maxReportedCrashes, 0):]), r.ownSoundAt, r.depth})
+	}
+	if all {
+		s.fullReport, s.fullReportAt = reports, now
 	}
 	return reports
 }
@@ -409,10 +422,11 @@
 	})
 }
 
-// expire removes the parts whose last crash is too old. The caller holds mu.
+// expire removes the parts whose last crash is too old and those that were cleared some
+// time ago. The caller holds mu.
 func (s *PartSet) expire(now time.Time) {
 	for p, r := range s.parts {
-		if now.Sub(r.lastCrash) >= partTTL {
+		if now.Sub(r.lastCrash) >= partTTL || len(r.crashes) == 0 && now.Sub(r.changed) >= clearedTTL {
 			delete(s.parts, p)
 		}
 	}
