Clear parts of prompts sooner, and probe sooner after little evidence

What callers saw: nothing; in a run of TestEnginesThatFailForAnotherCauseConvictNoPart, with one body for all requests, the part that all requests share was quarantined after three crashes with no answer begun for 1.6 s that lasted 0.3 s.

Cause: an answer counted as sound only 0.3 s after its first data, and engines that fail every 0.3 s end most answers before. The crashes of the incident had no event at all on the guilty request, 38 to 110 ms after it began to run.

Change: answers count after 0.1 s. The first probe after three crashes comes after 5 s, in place of 15; each further crash still multiplies the time by four, so that a guilty part gets no more than three in 100 s.

--- a/internal/app/forward/parts.go
+++ b/internal/app/forward/parts.go
@@ -10,8 +10,10 @@
 
 const (
 	// settleTime is how long an answer must go on after its first data until its prompt
-	// counts as sound. A part that crashes engines does so when they begin an answer.
-	settleTime = 300 * time.Millisecond
+	// counts as sound. A part that crashes engines does so when they begin an answer. If
+	// the time were longer, engines that fail one after the other for another cause would
+	// end most answers before it.
+	settleTime = 100 * time.Millisecond
 	// quarantineStep is the step of errors of requests that are refused because endpoints
 	// crashed with them.
 	quarantineStep = "quarantine"
--- a/internal/decide/quarantine/parts.go
+++ b/internal/decide/quarantine/parts.go
@@ -26,7 +26,7 @@
 	// firstProbe is the time from the last crash until one request with a quarantined
 	// part may run, to find out whether the part is sound by now. Each further crash
 	// multiplies it by probeFactor, up to maxProbe.
-	firstProbe  = 15 * time.Second
+	firstProbe  = 5 * time.Second
 	probeFactor = 4
 	maxProbe    = Duration
 	// probeTimeout is the time for which a probe keeps others from being sent.
