--- a/internal/adapter/fleetrpc/fleetrpc_test.go
+++ b/internal/adapter/fleetrpc/fleetrpc_test.go
@@ -264,3 +264,24 @@
 		t.Errorf("an address without a daemon: %v", err)
 	}
 }
+
+// Guards against statuses that grow beyond what daemons may spend on control while
+// engines crash on parts of prompts.
+func TestPartReportsAreSmall(t *testing.T) {
+	now := time.Now()
+	s := &fleet.Status{}
+	size := proto.Size(statusToPB(now, s))
+	const parts, crashes = 24, 4
+	for i := range parts {
+		p := quarantine.PartReport{Part: quarantine.Part(1<<62 + i), SoundAt: now.Add(-time.Hour), Depth: 3}
+		for k := range crashes {
+			p.Crashes = append(p.Crashes, quarantine.PartCrash{Endpoint: quarantine.EndpointRun(1<<62 + k), At: now.Add(-10 * time.Minute)})
+		}
+		s.Parts = append(s.Parts, p)
+	}
+	got := proto.Size(statusToPB(now, s)) - size
+	t.Logf("%d parts with %d crashes each take %d bytes", parts, crashes, got)
+	if got > 80*parts {
+		t.Errorf("%d parts take %d bytes, want %d at most", parts, got, 80*parts)
+	}
+}
