Clear parts of prompts by successes only

Found while reading: a whole answer with any status below 500 counted as sound, so that an endpoint which answers 400 before it looks at the prompt would have cleared a guilty part. Only a success does now.

TestFailuresClearNoPart: after three crashes, each followed by an answer with status 400, the part was not refused before.

A refusal whose probe is due at another daemon names a second, about as long as a probe takes, in place of the least time.

--- a/internal/app/forward/attempt.go
+++ b/internal/app/forward/attempt.go
@@ -274,6 +274,9 @@
 	}
 	if ok {
 		f.contents.RecordSuccess(rs.fingerprint)
+	}
+	if a.Status < http.StatusMultipleChoices {
+		// An endpoint may answer with a failure before it looks at the prompt.
 		f.parts.RecordSound(rs.parts, startTime)
 	}
 	f.deliverBuffered(rs, w, a, body)
--- a/internal/app/forward/parts.go
+++ b/internal/app/forward/parts.go
@@ -17,6 +17,9 @@
 	// quarantineStep is the step of errors of requests that are refused because endpoints
 	// crashed with them.
 	quarantineStep = "quarantine"
+	// probeRetryAfter is the least time after which callers may return: a probe that is due
+	// takes about as long.
+	probeRetryAfter = time.Second
 	// maxCheckedParts bounds the parts of one prompt that are checked.
 	maxCheckedParts = 64
 )
@@ -59,7 +62,7 @@
 // partRefusal returns the error of a request with a quarantined part.
 func (f *Forwarder) partRefusal(rs *requestState, v quarantine.Verdict) *core.Error {
 	f.events.PartRefused(rs.req, rs.pool, rs.req.Prompt[v.Index].ID, v)
-	return &core.Error{Kind: core.Unavailable, Step: quarantineStep, Ran: core.RanNot, RetryAfter: v.Remaining,
+	return &core.Error{Kind: core.Unavailable, Step: quarantineStep, Ran: core.RanNot, RetryAfter: max(v.Remaining, probeRetryAfter),
 		Detail: "refused for now because endpoints crash when they answer on a part of its prompt"}
 }
 
--- a/internal/app/forward/parts_test.go
+++ b/internal/app/forward/parts_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"net/http"
 	"strings"
 	"testing"
 	"time"
@@ -143,3 +144,27 @@
 		t.Error("parts of different pools are the same")
 	}
 }
+
+// Guards against a failure that an endpoint answers before it looks at the prompt and that
+// clears a part which crashes endpoints.
+func TestFailuresClearNoPart(t *testing.T) {
+	for status, cleared := range map[int]bool{http.StatusOK: true, http.StatusBadRequest: false, http.StatusInternalServerError: false} {
+		withFakePlatform(t, 6, func(p *fakePlatform) {
+			p.crashOn("bad")
+			crash := p.respond
+			for range 3 {
+				p.respond = crash
+				p.serveCrashes(1, "bad")
+				p.respond = func(core.Endpoint, *EndpointRequest, int) endpointBehavior {
+					return endpointBehavior{status: status, body: "answer"}
+				}
+				p.serve(context.Background(), "once", withPrompt("bad"))
+			}
+			time.Sleep(time.Second)
+			got := p.serve(context.Background(), "once", withPrompt("bad"))
+			if refused := got.err != nil && got.err.Step == quarantineStep; refused == cleared {
+				t.Errorf("after answers with status %d: refused %v", status, refused)
+			}
+		})
+	}
+}
