Send all requests in the test of classified outcomes

The cap is not what the test is about; it is 1,000 now, and every offered request must be counted as before.

--- a/internal/load/load_test.go
+++ b/internal/load/load_test.go
@@ -62,7 +62,7 @@
 func TestRunClassifiesOutcomes(t *testing.T) {
 	srv := httptest.NewServer(http.HandlerFunc(fakeDaemon))
 	defer srv.Close()
-	s := &Scenario{Seed: 3, Daemons: []string{srv.Listener.Addr().String()}, MaxInFlight: 100, Classes: map[string]Class{}, Phases: []Phase{{DurationMs: 500, Rates: map[string]float64{}}}}
+	s := &Scenario{Seed: 3, Daemons: []string{srv.Listener.Addr().String()}, MaxInFlight: 1000, Classes: map[string]Class{}, Phases: []Phase{{DurationMs: 500, Rates: map[string]float64{}}}}
 	for _, name := range []string{"right", "late", "swapped", "refused", "cut"} {
 		s.Classes[name] = Class{Account: "a", Rank: "normal", Pipeline: name, InputBytes: Range{40, 60}, MaxTokens: 3, DeadlineMs: 5000, Stream: name == "cut"}
 		s.Phases[0].Rates[name] = 40
