Refuse requests just before a stopping daemon ends

Cause: time in which the process is paused does not count for the 2.5 s in which a stopping daemon accepts connections, but does for the time in which it must end.

Change: a daemon that ends within 1.5 s refuses requests at once, not run, with the time to come back. Without pauses the balancer has noticed the stop by then, and nothing changes.

--- a/internal/app/forward/fake_test.go
+++ b/internal/app/forward/fake_test.go
@@ -62,6 +62,8 @@
 	// stageTime is the time that each stage takes, at least 100 ms.
 	stageTime      time.Duration
 	retriesAllowed bool
+	// stopsAt is when the daemon ends; zero if it is not stopping.
+	stopsAt time.Time
 	// pauseEnds holds the ends of the pauses that endpoints have asked for.
 	pauseEnds map[core.InstanceID]time.Time
 	// limits holds the endpoints that name a limit.
@@ -115,7 +117,7 @@
 			t.Fatal(err)
 		}
 		p.forwarder = New(Options{Catalog: func() *catalog.Snapshot { return p.snapshot }, View: func() *endpoints.View { return p.view },
-			Fleet: func() *fleet.View { return &fleet.View{} }, Endpoints: p, Stages: p, PausedUntil: p.pausedUntil, Limits: p, Budget: p, Events: discardEvents{}, Now: time.Now})
+			Fleet: func() *fleet.View { return &fleet.View{} }, Endpoints: p, Stages: p, PausedUntil: p.pausedUntil, Limits: p, Budget: p, Events: discardEvents{}, Now: time.Now, StopsAt: func() time.Time { return p.stopsAt }})
 		p.forwarder.SetEndpoints(p.view)
 		f(p)
 	})
--- a/internal/app/forward/forward.go
+++ b/internal/app/forward/forward.go
@@ -16,6 +16,10 @@
 )
 
 const (
+	// minTimeBeforeStop is the time before the end of a stopping daemon from which on it
+	// refuses requests, since it could cut their answers. The load balancer has long
+	// noticed the stop by then, unless the daemon was paused.
+	minTimeBeforeStop = 1500 * time.Millisecond
 	// defaultTimeout bounds a request if its caller sets no timeout.
 	defaultTimeout = 30 * time.Second
 )
@@ -37,6 +41,7 @@
 	contents    *quarantine.Contents
 	parts       *quarantine.PartSet
 	self        core.InstanceID
+	stopsAt     func() time.Time
 	latencies   *routeLatencies
 	overloads   *overloadTracker
 	active      atomic.Int64
@@ -61,6 +66,9 @@
 	Budget      Budget
 	Events      Events
 	Now         func() time.Time
+	// StopsAt returns the time at which this daemon ends if it is stopping, or the zero
+	// time. It may be nil.
+	StopsAt func() time.Time
 	// Announce tells the other daemons immediately that an endpoint gets a long
 	// prompt. It may be nil.
 	Announce func(fleet.Prefill)
@@ -71,8 +79,11 @@
 	if o.Announce == nil {
 		o.Announce = func(fleet.Prefill) {}
 	}
+	if o.StopsAt == nil {
+		o.StopsAt = func() time.Time { return time.Time{} }
+	}
 	return &Forwarder{announce: o.Announce, catalog: o.Catalog, view: o.View, fleet: o.Fleet, endpoints: o.Endpoints, stages: o.Stages, pausedUntil: o.PausedUntil, limits: o.Limits, budget: o.Budget,
-		events: o.Events, now: o.Now, tracker: newEndpointTracker(o.Now, o.Events), contents: quarantine.NewContents(o.Now), parts: quarantine.NewPartSet(o.Now), self: o.Self, latencies: newRouteLatencies(), overloads: newOverloadTracker()}
+		events: o.Events, now: o.Now, tracker: newEndpointTracker(o.Now, o.Events), contents: quarantine.NewContents(o.Now), parts: quarantine.NewPartSet(o.Now), self: o.Self, stopsAt: o.StopsAt, latencies: newRouteLatencies(), overloads: newOverloadTracker()}
 }
 
 // SetEndpoints replaces the endpoints whose health is tracked.
@@ -170,6 +181,9 @@
 // an error if the request cannot be served or has crashed endpoints.
 func (f *Forwarder) resolve(rs *requestState) *core.Error {
 	r := rs.req
+	if end := f.stopsAt(); !end.IsZero() && end.Sub(f.now()) < minTimeBeforeStop {
+		return &core.Error{Kind: core.Unavailable, Step: "stop", Ran: core.RanNot, RetryAfter: jitteredRetryAfter(minRetryAfter), Detail: "the daemon is about to end"}
+	}
 	rs.snapshot = f.catalog()
 	if rs.snapshot == nil {
 		return &core.Error{Kind: core.Unavailable, Step: "route", Ran: core.RanNot, RetryAfter: jitteredRetryAfter(500 * time.Millisecond), Detail: "the daemon has not loaded a configuration yet"}
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -65,9 +65,11 @@
 	store       *platform.Store
 	budgets     *repeatBudgets
 	fleetSize   fleetSize
-	metrics     *metrics.Set
-	stopping    atomic.Bool
-	shutdown    chan struct{}
+	// stopsAt is when the daemon ends; nil unless it is stopping.
+	stopsAt  atomic.Pointer[time.Time]
+	metrics  *metrics.Set
+	stopping atomic.Bool
+	shutdown chan struct{}
 
 	storeFallback                           storeFallback
 	configTable, endpointTable, daemonTable *mirror.Table
@@ -102,7 +104,7 @@
 	d.coordinator = stagework.NewCoordinator(ctx, calls, d.endpoints.PausedUntil, d.limits, d.telemetry, stageBudgets, time.Now)
 	d.stageClient = stagework.NewClient(d.fleet, self, d.coordinator, d.rpc, d.telemetry, time.Now)
 	d.forward = forward.New(forward.Options{Self: self.ID, Catalog: d.catalog.Load, View: d.endpoints.View, Fleet: d.fleet.View, Endpoints: calls,
-		Stages: d.stageClient, PausedUntil: d.endpoints.PausedUntil, Limits: d.limits, Budget: d.budgets, Events: d.telemetry, Now: time.Now, Announce: d.fleet.Announce})
+		Stages: d.stageClient, PausedUntil: d.endpoints.PausedUntil, Limits: d.limits, Budget: d.budgets, Events: d.telemetry, Now: time.Now, StopsAt: d.stopTime, Announce: d.fleet.Announce})
 	d.configTable = mirror.NewTable(platform.OperatorTable, d.configTableChanged)
 	d.endpointTable = mirror.NewTable(platform.EndpointTable, d.endpointTableChanged)
 	d.daemonTable = mirror.NewTable(daemonTableName, d.daemonTableChanged)
@@ -142,6 +144,14 @@
 	d.limits.MergeReported(s.Member.ID, s.Limits)
 }
 
+// stopTime returns when the daemon ends if it is stopping, or the zero time.
+func (d *Daemon) stopTime() time.Time {
+	if end := d.stopsAt.Load(); end != nil {
+		return *end
+	}
+	return time.Time{}
+}
+
 // daemonCount returns the number of daemons that share a fixed allowance: the live ones,
 // or those listed in the store if they are more.
 func (d *Daemon) daemonCount() int {
--- a/internal/edge/lifecycle.go
+++ b/internal/edge/lifecycle.go
@@ -80,6 +80,7 @@
 	d.log.Info().Int("in_progress", d.forward.Active()).Msg("stopping")
 	callers.SetKeepAlivesEnabled(false)
 	end := began.Add(seconds(d.settings.StopWithinS) - killMargin)
+	d.stopsAt.Store(&end)
 	ctx, cancel := context.WithDeadline(context.Background(), end)
 	defer cancel()
 	go func() {
