Split and rename what decides on parts of prompts

No behaviour changes. Reports and changes of PartSet have a file of their own; the forwarder's checks and records of crashes are in quarantine.go. 'Faulty' takes the place of 'guilty' in code and pages.

--- a/internal/app/forward/attempt.go
+++ b/internal/app/forward/attempt.go
@@ -353,15 +353,7 @@
 		reachability := f.endpoints.Reachable(checkCtx, e)
 		cancel()
 		if down = reachability != Reachable; down {
-			f.contents.RecordCrash(rs.fingerprint, e.ID)
-			streaming := time.Duration(-1)
-			if !firstEventAt.IsZero() {
-				streaming = failedAt.Sub(firstEventAt)
-			}
-			f.events.EndpointCrashed(rs.req, rs.pool, e.ID, streaming)
-			if reachability == Refusing && streaming < settleTime {
-				f.parts.RecordCrash(rs.parts, rs.endpointRun, failedAt)
-			}
+			f.recordCrash(rs, e, reachability, firstEventAt, failedAt)
 		}
 	}
 	f.tracker.observe(rs.pool, e.ID, health.Sample{Kind: health.Unary, Elapsed: f.now().Sub(startTime)}, down)
--- a/internal/app/forward/forward.go
+++ b/internal/app/forward/forward.go
@@ -222,22 +222,8 @@
 	if t := rs.route.LatencyTarget; t > 0 && t < timeout {
 		rs.targetStart = r.Arrived.Add(t)
 	}
-	rs.fingerprint = fingerprint(r, rs.account)
-	if n := f.contents.CrashCount(rs.fingerprint); n >= quarantine.ContentCrashes {
-		f.events.RequestQuarantined(r, n)
-		return &core.Error{Kind: core.Unavailable, Step: quarantineStep, Ran: core.RanNot, RetryAfter: jitteredRetryAfter(maxRetryAfter), Detail: "refused for now because endpoints crashed while they ran this request"}
-	}
-	rs.parts = sharedParts(rs.pool, r.Prompt)
-	v := f.parts.Check(rs.parts, f.probesPart)
-	if rs.probe = v.Probe; v.Probe {
-		f.events.PartProbed(r, rs.pool)
-	}
-	if v.Index >= 0 {
-		err := f.partRefusal(rs, v)
-		err.RetryAfter = jitteredRetryAfter(err.RetryAfter)
-		return err
-	}
-	return nil
+	rs.fingerprint, rs.parts = fingerprint(r, rs.account), sharedParts(rs.pool, r.Prompt)
+	return f.checkQuarantine(rs)
 }
 
 // combinedRank returns the rank of requests with the given priorities. Requests are
--- a/internal/app/forward/parts.go
+++ b/internal/app/forward/quarantine.go
@@ -38,6 +38,39 @@
 	return parts
 }
 
+// checkQuarantine returns the error of a request that is refused on arrival because
+// endpoints crashed with its content or on a part of its prompt, or nil.
+func (f *Forwarder) checkQuarantine(rs *requestState) *core.Error {
+	if n := f.contents.CrashCount(rs.fingerprint); n >= quarantine.ContentCrashes {
+		f.events.RequestQuarantined(rs.req, n)
+		return &core.Error{Kind: core.Unavailable, Step: quarantineStep, Ran: core.RanNot, RetryAfter: jitteredRetryAfter(maxRetryAfter), Detail: "refused for now because endpoints crashed while they ran this request"}
+	}
+	v := f.parts.Check(rs.parts, f.probesPart)
+	if rs.probe = v.Probe; v.Probe {
+		f.events.PartProbed(rs.req, rs.pool)
+	}
+	if v.Index < 0 {
+		return nil
+	}
+	err := f.partRefusal(rs, v)
+	err.RetryAfter = jitteredRetryAfter(err.RetryAfter)
+	return err
+}
+
+// recordCrash records that an endpoint ended while it had a request, whose answer began at
+// firstEventAt, zero if it had not, and failed at failedAt.
+func (f *Forwarder) recordCrash(rs *requestState, e core.Endpoint, reachability Reachability, firstEventAt, failedAt time.Time) {
+	f.contents.RecordCrash(rs.fingerprint, e.ID)
+	streaming := time.Duration(-1)
+	if !firstEventAt.IsZero() {
+		streaming = failedAt.Sub(firstEventAt)
+	}
+	f.events.EndpointCrashed(rs.req, rs.pool, e.ID, streaming)
+	if reachability == Refusing && streaming < settleTime {
+		f.parts.RecordCrash(rs.parts, rs.endpointRun, failedAt)
+	}
+}
+
 // probesPart reports whether this daemon is the one that finds out whether a quarantined
 // part is sound by now. All daemons that see the same members agree.
 func (f *Forwarder) probesPart(p quarantine.Part) bool {
--- a/internal/app/forward/parts_test.go
+++ b/internal/app/forward/quarantine_test.go
@@ -92,9 +92,9 @@
 	})
 }
 
-// Guards against crashes that convict a part without evidence: the endpoint cannot be
+// Guards against crashes that quarantine a part without evidence: the endpoint cannot be
 // reached, but did not end; the answer had been going on; the answer was complete.
-func TestWeakEvidenceConvictsNoPart(t *testing.T) {
+func TestWeakEvidenceQuarantinesNoPart(t *testing.T) {
 	event := "id: 1\ndata: x\n\n"
 	for _, c := range []struct {
 		name     string
--- a/internal/decide/quarantine/entry.go
+++ b/internal/decide/quarantine/entry.go
@@ -1,7 +1,8 @@
-// Package quarantine keeps track of request contents that are suspected of
-// crashing endpoints, and quarantines those that did so twice. A content is
-// identified by its fingerprint, so that repeated requests count as one. The
-// package does no I/O.
+// Package quarantine decides which requests are refused because endpoints crashed
+// with them. Set does so for the contents of dispatched requests, Contents for those of
+// forwarded requests, and PartSet for parts of prompts that requests share. A content
+// is identified by its fingerprint, so that repeated requests count as one. The package
+// does no I/O.
 package quarantine
 
 import (
--- a/internal/decide/quarantine/parts.go
+++ b/internal/decide/quarantine/parts.go
@@ -14,14 +14,15 @@
 
 const (
 	// partCrashes is the number of crashes at different moments from which on a part is
-	// quarantined. A part that innocent requests share with a guilty one is among the
+	// quarantined. A part that unrelated requests share with a faulty one is among the
 	// requests of as many crashes, but answers that begin meanwhile clear it.
 	partCrashes = 3
 	// sameMoment is the time in which crashes count as one, because they can have one
 	// other cause, such as a rack that fails.
 	sameMoment = 250 * time.Millisecond
 	// minSuspicion is the time from the first crash that counts until a part is
-	// quarantined. In it, answers on a part that is sound begin, and other daemons report them.
+	// quarantined. In it, answers on a part that is sound begin, and other daemons report
+	// them.
 	minSuspicion = time.Second
 	// firstProbe is the time from the last crash until one request with a quarantined
 	// part may run, to find out whether the part is sound by now. Each further crash
@@ -32,24 +33,16 @@
 	// probeTimeout is the time for which a probe keeps others from being sent.
 	probeTimeout = 10 * time.Second
 	// partTTL is how long a part is kept after its last crash. It is longer than maxProbe,
-	// so that a part that is guilty for good is probed and not forgotten.
+	// so that a part that is faulty for good is probed and not forgotten.
 	partTTL = 2 * maxProbe
 	// sameCrash is the time in which reports of a crash of one endpoint mean the same
 	// crash. An endpoint that starts again takes longer to crash again.
 	sameCrash = 2 * time.Second
-	// maxParts, maxPartCrashes and maxSoundParts bound the parts that are kept, the crashes of each, and the
-	// parts whose last answer is remembered.
+	// maxParts, maxPartCrashes and maxSoundParts bound the parts that are kept, the
+	// crashes of each, and the parts whose last answer is remembered.
 	maxParts       = 4096
 	maxPartCrashes = 8
 	maxSoundParts  = 4096
-	// maxReportedParts and maxReportedCrashes bound a report, recentChange is the time
-	// for which a change is in each report.
-	maxReportedParts   = 24
-	maxReportedCrashes = 4
-	recentChange       = 3 * time.Second
-	// fullReportInterval is the time for which a full report is used again. Sorting
-	// maxParts parts for each status would take a few hundredths of a small core.
-	fullReportInterval = 300 * time.Millisecond
 	// clearedTTL is how long a part without crashes is kept, so that all daemons learn
 	// that it is cleared.
 	clearedTTL = 30 * time.Second
@@ -88,19 +81,6 @@
 	At       time.Time
 }
 
-// PartReport is what one daemon tells others about a part. Crashes are relayed;
-// SoundAt is the daemon's own observation. If it were relayed too, its age would be
-// measured again at each daemon, and a delay on the way would make it newer each time.
-type PartReport struct {
-	Part    Part
-	Crashes []PartCrash
-	// SoundAt is when the last answer on the part began that went on; zero if there was
-	// none.
-	SoundAt time.Time
-	// Depth is the position of the part in the prompts, 0 for the first part.
-	Depth int
-}
-
 // Verdict says whether a request may be sent, and why not.
 type Verdict struct {
 	// Index is the index of the quarantined part among those that were asked for, -1 if
@@ -116,23 +96,12 @@
 	Probe bool
 }
 
-// PartChange is the begin or the end of a quarantine.
-type PartChange struct {
-	Part        Part
-	Quarantined bool
-	// Crashes is the number of crashes that count, LastCrash the time since the last one.
-	Crashes   int
-	LastCrash time.Duration
-	// LastSound is the time since the last answer on the part that went on began,
-	// negative if there was none.
-	LastSound time.Duration
-}
-
 // PartSet finds the parts of prompts that crash endpoints. A part is a suspect if
 // endpoints crashed at several moments while they were about to answer on it and no
 // answer on it began since the first of these crashes and went on. A suspect is
 // quarantined unless likelier suspects explain its crashes: requests share sound parts
-// with the guilty one, and the next answers on these may take a while. PartSet is safe for concurrent use.
+// with the faulty one, and the next answers on these may take a while. PartSet is safe
+// for concurrent use.
 type PartSet struct {
 	now func() time.Time
 
@@ -236,27 +205,6 @@
 	return Verdict{Index: -1, Probe: len(probes) > 0}
 }
 
-// Changes returns the quarantines that began or ended since the last call.
-func (s *PartSet) Changes() []PartChange {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	now := s.now()
-	var changes []PartChange
-	for p, r := range s.parts {
-		quarantined := s.quarantined(r, now)
-		if quarantined == r.reported {
-			continue
-		}
-		r.reported = quarantined
-		c := PartChange{Part: p, Quarantined: quarantined, Crashes: r.moments(), LastCrash: now.Sub(r.lastCrash), LastSound: -1}
-		if !r.soundAt.IsZero() {
-			c.LastSound = now.Sub(r.soundAt)
-		}
-		changes = append(changes, c)
-	}
-	return changes
-}
-
 // probeWait returns the time from the last crash until a probe.
 func probeWait(moments int) time.Duration {
 	wait := firstProbe
@@ -266,49 +214,6 @@
 	return wait
 }
 
-// Report returns what this daemon knows of the parts: all that is still of use, or only
-// what has changed lately. Parts with more crashes come first.
-func (s *PartSet) Report(all bool) []PartReport {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	now := s.now()
-	if all && now.Sub(s.fullReportAt) < fullReportInterval {
-		return s.fullReport
-	}
-	s.expire(now)
-	var known []*partRecord
-	for _, r := range s.parts {
-		if all || now.Sub(r.changed) < recentChange {
-			known = append(known, r)
-		}
-	}
-	slices.SortFunc(known, func(a, b *partRecord) int {
-		return cmp.Or(cmp.Compare(len(b.crashes), len(a.crashes)), b.changed.Compare(a.changed), cmp.Compare(a.part, b.part))
-	})
-	var reports []PartReport
-	for _, r := range known[:min(len(known), maxReportedParts)] {
-		reports = append(reports, PartReport{r.part, slices.Clone(r.crashes[max(len(r.crashes)-maxReportedCrashes, 0):]), r.ownSoundAt, r.depth})
-	}
-	if all {
-		s.fullReport, s.fullReportAt = reports, now
-	}
-	return reports
-}
-
-// Merge adds what another daemon reports.
-func (s *PartSet) Merge(reports []PartReport) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	for _, x := range reports {
-		for _, c := range x.Crashes {
-			s.addCrash(x.Part, x.Depth, c)
-		}
-		if r := s.parts[x.Part]; r != nil {
-			r.clearUntil(x.SoundAt, s.now())
-		}
-	}
-}
-
 // addCrash adds a crash to a part unless it is known or an answer on the part began
 // since. The caller holds mu.
 func (s *PartSet) addCrash(p Part, depth int, c PartCrash) {
@@ -406,7 +311,7 @@
 // crashes that both have: it has been sound less recently or, of two that have been
 // sound equally recently or never, it has more crashes. If these are equal too, it is
 // the part further behind in the prompt, which fewer other requests share. Should it be
-// innocent, the other one has more crashes after the next request with another such part.
+// sound, the other one has more crashes after the next request with another such part.
 func (r *partRecord) likelierThan(other *partRecord) bool {
 	return cmp.Or(other.soundAt.Compare(r.soundAt), cmp.Compare(len(r.crashes), len(other.crashes)), cmp.Compare(r.depth, other.depth),
 		cmp.Compare(r.part, other.part)) > 0
--- a/internal/decide/quarantine/parts_test.go
+++ b/internal/decide/quarantine/parts_test.go
@@ -34,7 +34,7 @@
 func (f *partFixture) refuses(p Part) bool { return f.Check([]Part{p}, never).Index >= 0 }
 
 const (
-	guiltyPart Part = iota + 1
+	faultyPart Part = iota + 1
 	shared
 	document
 )
@@ -43,12 +43,12 @@
 // and against refusing the parts that it shares with sound requests, which are in each of
 // its crashes.
 func TestOnlyThePartThatCrashesIsQuarantined(t *testing.T) {
-	for _, order := range [][]Part{{guiltyPart, shared}, {shared, guiltyPart}, {shared, document, guiltyPart}} {
+	for _, order := range [][]Part{{faultyPart, shared}, {shared, faultyPart}, {shared, document, faultyPart}} {
 		f := newPartFixture()
 		f.RecordSound([]Part{shared, document}, f.clock.t)
 		for i := range 6 {
 			f.pass(400 * time.Millisecond)
-			if got := f.refuses(guiltyPart); got != (i >= partCrashes) {
+			if got := f.refuses(faultyPart); got != (i >= partCrashes) {
 				t.Errorf("after %d crashes: refused %v", i, got)
 			}
 			f.crash(order...)
@@ -63,7 +63,7 @@
 			}
 		}
 		v := f.Check(order, never)
-		if v.Index < 0 || order[v.Index] != guiltyPart || v.Remaining <= 0 || v.Crashes < partCrashes {
+		if v.Index < 0 || order[v.Index] != faultyPart || v.Remaining <= 0 || v.Crashes < partCrashes {
 			t.Errorf("verdict on %v: %+v", order, v)
 		}
 	}
@@ -71,7 +71,7 @@
 
 // Guards against a popular part that is refused because endpoints crash for another
 // cause: a rack fails, with the part on all of its endpoints, or all endpoints fail.
-func TestEndpointsThatFailTogetherConvictNoPart(t *testing.T) {
+func TestEndpointsThatFailTogetherQuarantineNoPart(t *testing.T) {
 	for _, spread := range []time.Duration{0, 20 * time.Millisecond} {
 		f := newPartFixture()
 		for range 12 {
@@ -95,41 +95,41 @@
 	}
 }
 
-// Guards against innocent requests beside each crash that are refused later.
-func TestInnocentRequestsBesideCrashesAreServed(t *testing.T) {
+// Guards against unrelated requests beside each crash that are refused later.
+func TestUnrelatedRequestsBesideCrashesAreServed(t *testing.T) {
 	f := newPartFixture()
 	next := Part(1000)
-	var innocents []Part
+	var unrelated []Part
 	for range 8 {
-		f.crash(shared, guiltyPart)
+		f.crash(shared, faultyPart)
 		for range 20 {
 			next++
-			innocents = append(innocents, next)
+			unrelated = append(unrelated, next)
 			f.RecordCrash([]Part{shared, next}, EndpointRun(f.runs), f.clock.t)
 		}
 		f.pass(500 * time.Millisecond)
 	}
-	for _, p := range append(innocents, shared) {
+	for _, p := range append(unrelated, shared) {
 		if f.refuses(p) {
-			t.Fatalf("an innocent part is refused")
+			t.Fatalf("an unrelated part is refused")
 		}
 	}
-	if !f.refuses(guiltyPart) {
-		t.Error("the guilty part is not refused")
+	if !f.refuses(faultyPart) {
+		t.Error("the faulty part is not refused")
 	}
 }
 
-// Guards against one guilty part that hides another.
-func TestTwoGuiltyPartsAtOnce(t *testing.T) {
+// Guards against one faulty part that hides another.
+func TestTwoFaultyPartsAtOnce(t *testing.T) {
 	f := newPartFixture()
 	f.RecordSound([]Part{shared}, f.clock.t)
 	for i := range 8 {
 		f.pass(300 * time.Millisecond)
-		f.crash(shared, guiltyPart+100*Part(i%2))
+		f.crash(shared, faultyPart+100*Part(i%2))
 	}
 	f.pass(time.Second)
-	if !f.refuses(guiltyPart) || !f.refuses(guiltyPart+100) || f.refuses(shared) {
-		t.Errorf("refused: %v, %v, and the shared part %v", f.refuses(guiltyPart), f.refuses(guiltyPart+100), f.refuses(shared))
+	if !f.refuses(faultyPart) || !f.refuses(faultyPart+100) || f.refuses(shared) {
+		t.Errorf("refused: %v, %v, and the shared part %v", f.refuses(faultyPart), f.refuses(faultyPart+100), f.refuses(shared))
 	}
 }
 
@@ -138,18 +138,18 @@
 func TestAQuarantinedPartIsProbed(t *testing.T) {
 	f := newPartFixture()
 	for range partCrashes {
-		f.crash(guiltyPart)
+		f.crash(faultyPart)
 		f.pass(time.Second)
 	}
 	probes := func(d time.Duration) (n int) {
 		for end := f.clock.t.Add(d); f.clock.t.Before(end); f.pass(100 * time.Millisecond) {
-			if f.Check([]Part{guiltyPart}, never).Index < 0 {
+			if f.Check([]Part{faultyPart}, never).Index < 0 {
 				t.Fatal("a daemon that is not to probe sends a request")
 			}
-			if f.Check([]Part{guiltyPart}, always).Index < 0 {
+			if f.Check([]Part{faultyPart}, always).Index < 0 {
 				n++
 				f.pass(50 * time.Millisecond)
-				f.crash(guiltyPart)
+				f.crash(faultyPart)
 			}
 		}
 		return n
@@ -164,8 +164,8 @@
 		t.Errorf("%d probes in an hour", n)
 	}
 	f.Changes()
-	f.RecordSound([]Part{guiltyPart}, f.clock.t)
-	if f.refuses(guiltyPart) {
+	f.RecordSound([]Part{faultyPart}, f.clock.t)
+	if f.refuses(faultyPart) {
 		t.Error("the part is refused after a sound answer")
 	}
 	if got := f.Changes(); len(got) != 1 || got[0].Quarantined || len(f.Changes()) != 0 {
@@ -173,22 +173,22 @@
 	}
 }
 
-// Guards against an answer that was under way before the part became guilty and clears it,
+// Guards against an answer that was under way before the part became faulty and clears it,
 // and against one that began after the crashes and does not.
 func TestOnlyAnswersThatBeganLaterClear(t *testing.T) {
 	f := newPartFixture()
 	before := f.clock.t
 	f.pass(time.Second)
 	for range partCrashes {
-		f.crash(guiltyPart)
+		f.crash(faultyPart)
 		f.pass(time.Second)
 	}
-	f.RecordSound([]Part{guiltyPart}, before)
-	if !f.refuses(guiltyPart) {
+	f.RecordSound([]Part{faultyPart}, before)
+	if !f.refuses(faultyPart) {
 		t.Error("an earlier answer clears the part")
 	}
-	f.RecordSound([]Part{guiltyPart}, f.clock.t)
-	if f.refuses(guiltyPart) {
+	f.RecordSound([]Part{faultyPart}, f.clock.t)
+	if f.refuses(faultyPart) {
 		t.Error("a later answer does not clear the part")
 	}
 }
@@ -221,38 +221,38 @@
 	}
 	// Each daemon sees one more crash.
 	for i, d := range daemons {
-		d.RecordCrash([]Part{guiltyPart}, EndpointRun(10+i), c.t)
+		d.RecordCrash([]Part{faultyPart}, EndpointRun(10+i), c.t)
 		c.t = c.t.Add(400 * time.Millisecond)
 	}
 	exchange()
 	for i, d := range daemons {
-		if v := d.Check([]Part{guiltyPart}, never); v.Index < 0 {
+		if v := d.Check([]Part{faultyPart}, never); v.Index < 0 {
 			t.Errorf("daemon %d does not refuse the part", i)
 		}
 	}
-	daemons[2].RecordSound([]Part{guiltyPart}, c.t)
+	daemons[2].RecordSound([]Part{faultyPart}, c.t)
 	exchange()
 	for i, d := range daemons {
-		if v := d.Check([]Part{guiltyPart}, never); v.Index >= 0 {
+		if v := d.Check([]Part{faultyPart}, never); v.Index >= 0 {
 			t.Errorf("daemon %d refuses the part after another one's answer", i)
 		}
 	}
 	// A daemon that starts now gets all that is known, although nothing changed lately.
-	daemons[0].RecordCrash([]Part{guiltyPart}, 20, c.t.Add(time.Second))
-	daemons[0].RecordCrash([]Part{guiltyPart}, 21, c.t.Add(2*time.Second))
-	daemons[0].RecordCrash([]Part{guiltyPart}, 22, c.t.Add(3*time.Second))
+	daemons[0].RecordCrash([]Part{faultyPart}, 20, c.t.Add(time.Second))
+	daemons[0].RecordCrash([]Part{faultyPart}, 21, c.t.Add(2*time.Second))
+	daemons[0].RecordCrash([]Part{faultyPart}, 22, c.t.Add(3*time.Second))
 	c.t = c.t.Add(20 * time.Second)
 	started := NewPartSet(c.now)
-	if started.Merge(daemons[0].Report(false)); started.Check([]Part{guiltyPart}, never).Index >= 0 {
+	if started.Merge(daemons[0].Report(false)); started.Check([]Part{faultyPart}, never).Index >= 0 {
 		t.Error("an old change is in the short report")
 	}
-	if started.Merge(daemons[0].Report(true)); started.Check([]Part{guiltyPart}, never).Index < 0 {
+	if started.Merge(daemons[0].Report(true)); started.Check([]Part{faultyPart}, never).Index < 0 {
 		t.Error("a daemon that starts does not learn of the part")
 	}
 }
 
 // Guards against memory that grows with the number of distinct parts, and against the
-// guilty part that is forgotten for them.
+// faulty part that is forgotten for them.
 func TestManyPartsAreBounded(t *testing.T) {
 	f := newPartFixture()
 	rng := rand.New(rand.NewPCG(1, 1))
@@ -262,7 +262,7 @@
 			parts[k] = Part(rng.Uint64())
 		}
 		if i < partCrashes+2 {
-			parts = append(parts, guiltyPart)
+			parts = append(parts, faultyPart)
 		}
 		f.RecordSound(parts[:25], f.clock.t)
 		if i%50 == 0 || i < partCrashes+2 {
@@ -276,16 +276,16 @@
 	if len(f.parts) > maxParts || len(f.sound)+len(f.olderSound) > maxSoundParts || len(f.Report(true)) > maxReportedParts {
 		t.Errorf("%d parts, %d and %d sound ones, %d reported", len(f.parts), len(f.sound), len(f.olderSound), len(f.Report(true)))
 	}
-	if !f.refuses(guiltyPart) {
-		t.Error("the guilty part was forgotten")
+	if !f.refuses(faultyPart) {
+		t.Error("the faulty part was forgotten")
 	}
 }
 
-// Guards against more requests with a guilty part than allowed, and against a refused
+// Guards against more requests with a faulty part than allowed, and against a refused
 // sound part, in fleets of 1 to 12 daemons at various rates. Some daemons are cut off from
 // the others for a while and restart: they have to find out by themselves, and the bound
 // does not count what they send meanwhile.
-func TestFleetsFindTheGuiltyPart(t *testing.T) {
+func TestFleetsFindTheFaultyPart(t *testing.T) {
 	const contact = 3 * time.Second
 	rapid.Check(t, func(t *rapid.T) {
 		c := &clock{time.Unix(100_000, 0)}
@@ -295,9 +295,9 @@
 			daemons = append(daemons, NewPartSet(c.now))
 		}
 		rng := rand.New(rand.NewPCG(rapid.Uint64().Draw(t, "seed"), 1))
-		guiltyEvery := time.Duration(rapid.IntRange(150, 2000).Draw(t, "guilty every ms")) * time.Millisecond
+		faultyEvery := time.Duration(rapid.IntRange(150, 2000).Draw(t, "faulty every ms")) * time.Millisecond
 		soundEvery := time.Duration(rapid.IntRange(30, 1500).Draw(t, "sound every ms")) * time.Millisecond
-		guiltyFirst := rapid.Bool().Draw(t, "guilty first")
+		faultyFirst := rapid.Bool().Draw(t, "faulty first")
 		// The smaller side of a partition is the one that is cut off.
 		cut := rapid.IntRange(0, n/2).Draw(t, "daemons cut off")
 		cutFrom := c.t.Add(time.Duration(rapid.IntRange(0, 20).Draw(t, "cut after s")) * time.Second)
@@ -308,7 +308,7 @@
 			return i < cut && !c.t.Before(cutFrom) && c.t.Before(cutTo.Add(contact)) || i == 0 && !c.t.Before(restartAt) && c.t.Before(restartAt.Add(contact))
 		}
 		restarted := false
-		nextGuilty, nextSound, nextExchange := c.t.Add(4*time.Second), c.t, c.t
+		nextFaulty, nextSound, nextExchange := c.t.Add(4*time.Second), c.t, c.t
 		crashes, sent, sound, refused := 0, 0, 0, 0
 		var fifth time.Time
 		for end := c.t.Add(40 * time.Second); c.t.Before(end); c.t = c.t.Add(10 * time.Millisecond) {
@@ -338,11 +338,11 @@
 					d.RecordSound(parts, c.t)
 				}
 			}
-			if !c.t.Before(nextGuilty) {
-				nextGuilty = c.t.Add(guiltyEvery)
-				parts := []Part{shared, Part(100 + rng.IntN(5)), guiltyPart}
-				if guiltyFirst {
-					parts = []Part{guiltyPart, Part(100 + rng.IntN(5))}
+			if !c.t.Before(nextFaulty) {
+				nextFaulty = c.t.Add(faultyEvery)
+				parts := []Part{shared, Part(100 + rng.IntN(5)), faultyPart}
+				if faultyFirst {
+					parts = []Part{faultyPart, Part(100 + rng.IntN(5))}
 				}
 				if d.Check(parts, never).Index >= 0 {
 					continue
@@ -366,7 +366,7 @@
 }
 
 // Guards against hundreds of daemons of which most still send requests with the part 3 s
-// after the crashes that convict it: daemons exchange with a few others at a time.
+// after the crashes that quarantine it: daemons exchange with a few others at a time.
 func TestLargeFleetsLearnOfAQuarantineInTime(t *testing.T) {
 	const daemonCount, peersEach, interval = 330, 4, 300 * time.Millisecond
 	c := &clock{time.Unix(100_000, 0)}
@@ -376,7 +376,7 @@
 	}
 	rng := rand.New(rand.NewPCG(3, 3))
 	for i := range partCrashes {
-		daemons[rng.IntN(daemonCount)].RecordCrash([]Part{guiltyPart}, EndpointRun(i), c.t)
+		daemons[rng.IntN(daemonCount)].RecordCrash([]Part{faultyPart}, EndpointRun(i), c.t)
 		c.t = c.t.Add(400 * time.Millisecond)
 	}
 	took := time.Duration(0)
@@ -391,7 +391,7 @@
 		}
 		left = 0
 		for _, d := range daemons {
-			if d.Check([]Part{guiltyPart}, never).Index < 0 {
+			if d.Check([]Part{faultyPart}, never).Index < 0 {
 				left++
 			}
 		}
--- a/internal/decide/repeats/fleetsize.go
+++ b/internal/decide/repeats/fleetsize.go
@@ -20,8 +20,8 @@
 }
 
 // Observed returns the highest number of daemons that this daemon has observed itself in
-// the window. It is what it reports to others; if it also reported what it has heard from them, a
-// number would never expire.
+// the window. It is what it reports to others; if it also reported what it has heard from
+// them, a number would never expire.
 func (s *FleetSize) Observed(now time.Time) int { return s.observed.max(now) }
 
 // Daemons returns the number of daemons that share a fixed allowance, 1 or more.
