Treat a stream that ends without any event as broken off

An engine that crashes when it begins an answer without a length ends its connection after the header, and the caller got a stream with no event that looked complete. Nor did the crash count against the prompt's parts.

Change: a stream that ends before its first event failed, unless it was resumed and may have none left. Nothing was sent to the caller yet, so that it gets an error, or the stream of another endpoint if it may be resumed.

TestAStreamThatEndsWithinAnEventIsBrokenOff, cases 'without any event' and 'resumable, without any event': served as complete before.

--- a/internal/app/forward/partial_event_test.go
+++ b/internal/app/forward/partial_event_test.go
@@ -22,8 +22,10 @@
 		{"within the first event", "stream", "id: 1\nda", "id: 1\nda", true},
 		{"after an event", "stream", first, first, false},
 		{"after an event with carriage returns", "stream", "id: 1\r\ndata: x\r\n\r\n", "id: 1\r\ndata: x\r\n\r\n", false},
+		{"without any event", "stream", "", "", false},
 		{"resumable, within the data", "resume", first + "id: 2\nda", first + second, false},
 		{"resumable, within the first event", "resume", "id: 1\nda", second, false},
+		{"resumable, without any event", "resume", "", second, false},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			withFakePlatform(t, 3, func(p *fakePlatform) {
@@ -34,10 +36,24 @@
 					return endpointBehavior{body: second, length: -1}
 				}
 				got := p.serve(context.Background(), c.route, nil)
-				if got.body != c.wantBody || got.cut != c.wantCut || (got.err != nil) != c.wantCut {
+				// Without any event nothing was sent yet, so the caller gets an error instead.
+				wantErr := c.wantCut || c.wantBody == ""
+				if got.body != c.wantBody || got.cut != c.wantCut || (got.err != nil) != wantErr {
 					t.Errorf("the caller got %q, cut %v, error %v; want %q, cut %v", got.body, got.cut, got.err, c.wantBody, c.wantCut)
 				}
 			})
 		})
 	}
 }
+
+// Guards against an error for a caller that resumes a stream of which it has got all
+// events.
+func TestAResumedStreamMayHaveNoEventLeft(t *testing.T) {
+	withFakePlatform(t, 1, func(p *fakePlatform) {
+		p.respond = func(core.Endpoint, *EndpointRequest, int) endpointBehavior { return endpointBehavior{length: -1} }
+		got := p.serve(context.Background(), "resume", func(r *Request) { r.ResumeAfter = "5" })
+		if got.err != nil || got.status != 200 || got.body != "" {
+			t.Errorf("the caller got %+v", got)
+		}
+	})
+}
--- a/internal/app/forward/stream.go
+++ b/internal/app/forward/stream.go
@@ -63,6 +63,7 @@
 	defer cancel()
 	chunks := readChunks(ctx, a.Body)
 	var partial []byte
+	resumed := s.lastEventID != "" || s.state.req.ResumeAfter != ""
 	var ending eventEnding
 	firstSeen := false
 	var firstReadAt, lastReadAt time.Time
@@ -101,17 +102,18 @@
 			}
 		}
 		ending.add(c.data)
-		if err := s.write(a, data, c.err == io.EOF && ending.complete()); err != nil {
+		whole := ending.complete() && (firstSeen || resumed)
+		if err := s.write(a, data, c.err == io.EOF && whole); err != nil {
 			return err
 		}
 		if findLastEventID(data) != "" {
 			lastEventAt = s.forwarder.now()
 		}
 		switch {
-		case c.err == io.EOF && !ending.complete():
+		case c.err == io.EOF && !whole:
 			// An answer without a length ends with its connection, also if its endpoint
-			// fails.
-			return s.streamError("the endpoint's stream ended within an event", io.ErrUnexpectedEOF)
+			// fails. Only a resumed stream may have no event left.
+			return s.streamError("the endpoint's stream ended before or within an event", io.ErrUnexpectedEOF)
 		case c.err == io.EOF:
 			return nil
 		case c.err != nil:
