Restore the check of daemons that are left apart by a partition

The other test keeps what it checked. Not fixed: fewer crashes would have to suffice, which takes sound parts along when a rack fails.

--- a/internal/decide/quarantine/parts_test.go
+++ b/internal/decide/quarantine/parts_test.go
@@ -286,6 +286,17 @@
 // the others for a while and restart: they have to find out by themselves, and the bound
 // does not count what they send meanwhile.
 func TestFleetsFindTheFaultyPart(t *testing.T) {
+	checkFleets(t, func(daemons int) int { return daemons / 2 })
+}
+
+// Guards against more requests with a faulty part than allowed from the daemons that are
+// left when most of the others are cut off from them: they have little of the evidence.
+func TestFewDaemonsApartFindTheFaultyPart(t *testing.T) {
+	checkFleets(t, func(daemons int) int { return daemons - 1 })
+}
+
+// checkFleets checks random fleets of which up to maxCut daemons are cut off.
+func checkFleets(t *testing.T, maxCut func(daemons int) int) {
 	const contact = 3 * time.Second
 	rapid.Check(t, func(t *rapid.T) {
 		c := &clock{time.Unix(100_000, 0)}
@@ -298,8 +309,7 @@
 		faultyEvery := time.Duration(rapid.IntRange(150, 2000).Draw(t, "faulty every ms")) * time.Millisecond
 		soundEvery := time.Duration(rapid.IntRange(30, 1500).Draw(t, "sound every ms")) * time.Millisecond
 		faultyFirst := rapid.Bool().Draw(t, "faulty first")
-		// The smaller side of a partition is the one that is cut off.
-		cut := rapid.IntRange(0, n/2).Draw(t, "daemons cut off")
+		cut := rapid.IntRange(0, maxCut(n)).Draw(t, "daemons cut off")
 		cutFrom := c.t.Add(time.Duration(rapid.IntRange(0, 20).Draw(t, "cut after s")) * time.Second)
 		cutTo := cutFrom.Add(time.Duration(rapid.IntRange(0, 15).Draw(t, "cut for s")) * time.Second)
 		restartAt := c.t.Add(time.Duration(rapid.IntRange(0, 40).Draw(t, "restart after s")) * time.Second)
