Log how an endpoint framed its answer

The log did not tell an answer that ended with its connection from one with a length or chunks, so that the hypotheses on truncated answers could not be told apart. request_ended has the field framing now, and eelgrass_answers_total counts answers by framing and outcome. No decision is changed.

--- a/internal/adapter/telemetry/hosted.go
+++ b/internal/adapter/telemetry/hosted.go
@@ -135,6 +135,9 @@
 	} else if o.Cut {
 		outcome = "cut"
 	}
+	if o.Framing != "" {
+		h.set.GetOrCreateCounter(fmt.Sprintf(`eelgrass_answers_total{framing=%q,outcome=%q}`, o.Framing, outcome)).Inc()
+	}
 	account := h.requests.accountLabel(o.Account)
 	h.set.GetOrCreateCounter(fmt.Sprintf(`eelgrass_requests_total{account=%q,rank="%d",outcome=%q,step=%q}`, account, o.Rank, outcome, e.Step)).Inc()
 	h.set.GetOrCreateHistogram(fmt.Sprintf(`eelgrass_request_duration_seconds{account=%q,rank="%d"}`, account, o.Rank)).Update(o.Total.Seconds())
@@ -158,7 +161,7 @@
 		ev = h.log.Warn()
 	}
 	ev = ev.Str("request", string(o.Request.ID)).Str("route", route).Str("pool", string(o.Pool)).Str("account", string(o.Account)).Int("rank", o.Rank).
-		Str("outcome", outcome).Int("status", o.Status).Str("endpoint", string(o.Endpoint)).Int("attempts", o.Attempts).
+		Str("outcome", outcome).Int("status", o.Status).Str("endpoint", string(o.Endpoint)).Int("attempts", o.Attempts).Str("framing", o.Framing).
 		Int64("stages_ms", o.StageTime.Milliseconds()).Int64("first_byte_ms", o.FirstByte.Milliseconds()).Int64("longest_gap_ms", o.LongestGap.Milliseconds()).Int64("total_ms", o.Total.Milliseconds()).
 		Bool("late", late).Bool("late_first", lateFirst).Bool("late_pause", latePause).Int("heaps", o.EventBursts).Int("prompt_tokens", o.Request.PromptTokens).Ints("pieces", o.Request.PieceCounts).Int64("config", o.ConfigVersion)
 	if o.Err != nil {
--- a/internal/app/forward/attempt.go
+++ b/internal/app/forward/attempt.go
@@ -196,6 +196,7 @@
 		return f.recordFailure(ctx, rs, e, startTime, time.Time{}, core.AsError(err, "send"))
 	}
 	defer a.Body.Close()
+	rs.outcome.Framing = a.Framing.String()
 	if rs.route.Stream && a.Genuine && a.Status == http.StatusOK && !rs.cannotContinue(a) {
 		resumed := s.lastEventID != ""
 		var firstEventAt time.Time
--- a/internal/app/forward/ports.go
+++ b/internal/app/forward/ports.go
@@ -77,6 +77,8 @@
 	Body   io.ReadCloser
 	// Length is the length of Body in bytes, -1 if unknown.
 	Length int64
+	// Framing says what marks the end of Body.
+	Framing Framing
 	// NotStarted is true if the endpoint reports that it did not start the request.
 	NotStarted bool
 	// Genuine is true if the answer carries the mark by which the endpoint confirms
@@ -87,6 +89,29 @@
 	InputsGone bool
 }
 
+// Framing is the way in which the end of an answer is marked.
+type Framing int
+
+const (
+	// FramedByLength answers end after the number of bytes that their header names.
+	FramedByLength Framing = iota
+	// FramedByChunks answers end with an empty chunk.
+	FramedByChunks
+	// FramedByClose answers end with their connection.
+	FramedByClose
+)
+
+// String returns the name that logs and metrics use.
+func (f Framing) String() string {
+	switch f {
+	case FramedByChunks:
+		return "chunks"
+	case FramedByClose:
+		return "close"
+	}
+	return "length"
+}
+
 // Endpoints sends requests to endpoints.
 type Endpoints interface {
 	// Send sends a request and returns the answer with an open body. An error is a
@@ -191,7 +216,9 @@
 	CallerLeft bool
 	// Cut is true if the answer was started but not completed.
 	Cut bool
-	Err *core.Error
+	// Framing is that of the last answer that an endpoint began, empty if none did.
+	Framing string
+	Err     *core.Error
 	// ConfigVersion is the version of the catalog that the request was served with.
 	ConfigVersion int64
 }
