Treat a close by a crashed endpoint as a broken answer

The operating system closes the connections of a process that ends. An answer without length or chunks then ends in order although its endpoint crashed in the middle of it, for a stream also between two events, which does not see.

What tells the two apart: the endpoint has ended a moment later although it is still listed and is not leaving.

Ruled out: an endpoint that cannot be reached (a cut network is no crash), one that has left the list (it ends after its last answers), answers with a length or chunks, which prove their end.

Change: after the close that ends such an answer the daemon connects to the endpoint once. This costs one connection and its round trip per answer without length or chunks, at its end.

What remains: an endpoint that restarts within that round trip.

--- a/internal/app/forward/attempt.go
+++ b/internal/app/forward/attempt.go
@@ -255,14 +255,18 @@
 	if err != nil {
 		return f.recordFailure(ctx, rs, e, startTime, time.Time{}, &core.Error{Kind: core.Upstream, Step: "answer", Peer: string(e.ID), Detail: "the endpoint's answer ended early", Err: err})
 	}
+	long := len(body) > maxBufferedAnswerBytes
+	if !long && f.crashedAtEnd(ctx, a, e.ID) {
+		return f.recordFailure(ctx, rs, e, startTime, time.Time{}, crashedAtEndError(e.ID, "answer"))
+	}
 	ok := a.Status < http.StatusInternalServerError
-	if len(body) > maxBufferedAnswerBytes {
-		if err := f.deliverUnbuffered(rs, w, a, body); err != nil {
+	if long {
+		if err := f.deliverUnbuffered(ctx, rs, w, a, body); err != nil {
 			return f.recordFailure(ctx, rs, e, startTime, time.Time{}, err)
 		}
 	}
 	f.tracker.observe(rs.pool, e.ID, health.Sample{OK: ok, Kind: health.Unary, Elapsed: f.now().Sub(startTime)}, false)
-	if len(body) > maxBufferedAnswerBytes {
+	if long {
 		return nil
 	}
 	if !ok && rs.route.Repeat == catalog.Repeatable && rs.outcome.Attempts < rs.route.Attempts && f.now().Add(minRemaining).Before(rs.deadline) {
@@ -321,7 +325,7 @@
 // deliverUnbuffered relays an answer that is too long to buffer. buffered is the part
 // that was already read. After an error the answer is incomplete, and the connection
 // to the caller must be closed.
-func (f *Forwarder) deliverUnbuffered(rs *requestState, w http.ResponseWriter, a *Answer, buffered []byte) *core.Error {
+func (f *Forwarder) deliverUnbuffered(ctx context.Context, rs *requestState, w http.ResponseWriter, a *Answer, buffered []byte) *core.Error {
 	for k, v := range a.Header {
 		w.Header()[k] = v
 	}
@@ -336,9 +340,33 @@
 	if _, err := io.Copy(w, a.Body); err != nil {
 		return &core.Error{Kind: core.Upstream, Step: "answer", Peer: string(rs.outcome.Endpoint), Ran: core.RanYes, Detail: "the endpoint's answer ended early", Err: err}
 	}
+	if e := rs.outcome.Endpoint; f.crashedAtEnd(ctx, a, e) {
+		return crashedAtEndError(e, "answer")
+	}
 	return nil
 }
 
+// crashedAtEnd reports whether the connection that ends an answer was closed because the
+// endpoint crashed, which looks like an orderly close: a process has just ended that is
+// still listed and is not leaving. The body of a has been read to its end.
+func (f *Forwarder) crashedAtEnd(ctx context.Context, a *Answer, id core.InstanceID) bool {
+	if a.Framing != FramedByClose {
+		return false
+	}
+	e, listed := f.view().ByID[id]
+	if !listed {
+		return false
+	}
+	ctx, cancel := context.WithTimeout(ctx, reachabilityTimeout)
+	defer cancel()
+	return f.endpoints.Reachable(ctx, e.Endpoint) == Refusing
+}
+
+// crashedAtEndError is the error of an answer for which crashedAtEnd is true.
+func crashedAtEndError(id core.InstanceID, step string) *core.Error {
+	return &core.Error{Kind: core.Upstream, Step: step, Peer: string(id), Detail: "the endpoint ended together with the connection that marks the end of its answer", Err: io.ErrUnexpectedEOF}
+}
+
 // recordFailure records a request that failed at an endpoint and returns err. If the
 // endpoint turns out to be down, it is ejected; if it may have run the request before,
 // the request's content becomes a suspect. firstEventAt is the time of the answer's
--- a/internal/app/forward/fake_test.go
+++ b/internal/app/forward/fake_test.go
@@ -31,6 +31,7 @@
 	notStarted, inputsGone, forged bool
 	body                           string
 	length                         int64
+	framing                        Framing
 	// breaksOff makes reading fail after body, breakDelay later.
 	breaksOff  bool
 	breakDelay time.Duration
@@ -199,7 +200,7 @@
 	}
 	header := http.Header{"X-From": {string(e.ID)}}
 	maps.Copy(header, behavior.header)
-	return &Answer{Status: status, Header: header, Body: io.NopCloser(body), Length: behavior.length, NotStarted: behavior.notStarted,
+	return &Answer{Status: status, Header: header, Body: io.NopCloser(body), Length: behavior.length, Framing: behavior.framing, NotStarted: behavior.notStarted,
 		InputsGone: behavior.inputsGone, Genuine: !behavior.forged && !behavior.notStarted}, nil
 }
 
