Refuse what a stopping daemon cannot end, also after waits

A request that lasts longer than what is left, or that is sent after its stages or a permit have taken that time, was sent and cut.

Ruled out: requests that are read late; their arrival is when they have been read, so that the check at arrival covers them.

Change: before its stages, and before each send, a request is compared with the time left: what nearly all answers of its route take, and 1.5 s at least. It is refused as not run, with a time to return, unless it may have run. Routes that are no streams get such an estimate too.

--- a/internal/app/forward/attempt.go
+++ b/internal/app/forward/attempt.go
@@ -91,6 +91,12 @@
 			}
 			break
 		}
+		if err := f.stopError(f.expectedAnswerTime(rs.route)); err != nil {
+			if !rs.mayHaveRun {
+				lastErr = err
+			}
+			break
+		}
 		candidates := f.pickEndpoint(ctx, rs, tried)
 		if err := f.poolClosedError(rs.pool, rs.rank); len(candidates) == 0 && err != nil && !rs.mayHaveRun {
 			lastErr = err
@@ -277,6 +283,7 @@
 			return f.retryFailedAnswer(ctx, rs, w, a, body)
 		}
 	}
+	f.latencies.observeWholeAnswer(rs.route.Name, f.now().Sub(startTime))
 	if ok {
 		f.contents.RecordSuccess(rs.fingerprint)
 	}
--- a/internal/app/forward/forward.go
+++ b/internal/app/forward/forward.go
@@ -181,8 +181,9 @@
 // an error if the request cannot be served or has crashed endpoints.
 func (f *Forwarder) resolve(rs *requestState) *core.Error {
 	r := rs.req
-	if end := f.stopsAt(); !end.IsZero() && end.Sub(f.now()) < minTimeBeforeStop {
-		return &core.Error{Kind: core.Unavailable, Step: "stop", Ran: core.RanNot, RetryAfter: jitteredRetryAfter(minRetryAfter), Detail: "the daemon is about to end"}
+	if err := f.stopError(0); err != nil {
+		err.RetryAfter = jitteredRetryAfter(err.RetryAfter)
+		return err
 	}
 	rs.snapshot = f.catalog()
 	if rs.snapshot == nil {
@@ -226,6 +227,25 @@
 	return f.checkQuarantine(rs)
 }
 
+// stopError returns an error if the daemon is stopping and ends before an answer that
+// takes the given time can be expected, or within minTimeBeforeStop.
+func (f *Forwarder) stopError(expected time.Duration) *core.Error {
+	end := f.stopsAt()
+	if end.IsZero() || end.Sub(f.now()) >= max(expected, minTimeBeforeStop) {
+		return nil
+	}
+	return &core.Error{Kind: core.Unavailable, Step: "stop", Ran: core.RanNot, RetryAfter: minRetryAfter, Detail: "the daemon is about to end"}
+}
+
+// expectedAnswerTime returns a time within which nearly all answers of the route are
+// complete, counted from when they are sent to an endpoint.
+func (f *Forwarder) expectedAnswerTime(route *catalog.Route) time.Duration {
+	if route.Stream {
+		return f.latencies.expectedFirstEvent(route.Name) + f.latencies.expectedStreamDuration(route.Name)
+	}
+	return f.latencies.expectedWholeAnswer(route.Name)
+}
+
 // combinedRank returns the rank of requests with the given priorities. Requests are
 // ordered by the account's priority and, within it, by the route's. The result is
 // between 0, the most urgent, and maxRank.
@@ -274,6 +294,9 @@
 			Detail: fmt.Sprintf("the queues of the stages are too long: the answer is expected to start in %d ms (%d ms without queueing), the time left is %d ms until the limit and %d ms until the target",
 				rs.plan.expectedTime.Milliseconds(), rs.plan.unqueuedTime.Milliseconds(), timeLeft.Milliseconds(), rs.targetStart.Sub(now).Milliseconds())}
 	}
+	if err := f.stopError(rs.plan.expectedTime - rs.plan.firstEventTime + f.expectedAnswerTime(rs.route)); err != nil {
+		return err
+	}
 	if err := f.reservePermit(ctx, rs); err != nil {
 		return err
 	}
--- a/internal/app/forward/latency.go
+++ b/internal/app/forward/latency.go
@@ -11,17 +11,17 @@
 	estimateWeight = 0.05
 	// maxTrackedRoutes bounds the routes for which latencies or overloads are tracked.
 	maxTrackedRoutes = 4096
-	// streamDurationDeviations is the number of mean deviations above the mean within
-	// which nearly all streams end.
-	streamDurationDeviations = 2
+	// durationDeviations is the number of mean deviations above the mean within
+	// which nearly all answers end.
+	durationDeviations = 2
 )
 
 // routeLatencies estimates, by route, the time from sending a request to the first
 // event of its answer (firstEvent) and the time from the first to the last event
-// (streamDuration).
+// (streamDuration), or to the end of an answer that is no stream (wholeAnswer).
 type routeLatencies struct {
-	mu                         sync.Mutex
-	firstEvent, streamDuration map[string]*latencyEstimate
+	mu                                      sync.Mutex
+	firstEvent, streamDuration, wholeAnswer map[string]*latencyEstimate
 }
 
 // latencyEstimate is a moving average of times and of their absolute deviation from it,
@@ -29,7 +29,7 @@
 type latencyEstimate struct{ mean, deviation float64 }
 
 func newRouteLatencies() *routeLatencies {
-	return &routeLatencies{firstEvent: map[string]*latencyEstimate{}, streamDuration: map[string]*latencyEstimate{}}
+	return &routeLatencies{firstEvent: map[string]*latencyEstimate{}, streamDuration: map[string]*latencyEstimate{}, wholeAnswer: map[string]*latencyEstimate{}}
 }
 
 // observeFirstEvent records the time to the first event of one request.
@@ -43,6 +43,11 @@
 	l.update(l.streamDuration, route, d)
 }
 
+// observeWholeAnswer records the time to the end of an answer that is no stream.
+func (l *routeLatencies) observeWholeAnswer(route string, d time.Duration) {
+	l.update(l.wholeAnswer, route, d)
+}
+
 func (l *routeLatencies) update(estimates map[string]*latencyEstimate, route string, d time.Duration) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -72,10 +77,20 @@
 // expectedStreamDuration returns a time after the first event within which nearly all
 // streams of a route end, or 0 if no stream of the route has been completed yet.
 func (l *routeLatencies) expectedStreamDuration(route string) time.Duration {
+	return l.upperEstimate(l.streamDuration, route)
+}
+
+// expectedWholeAnswer returns a time within which nearly all answers of a route that are
+// no streams end, or 0 if there has been none yet.
+func (l *routeLatencies) expectedWholeAnswer(route string) time.Duration {
+	return l.upperEstimate(l.wholeAnswer, route)
+}
+
+func (l *routeLatencies) upperEstimate(estimates map[string]*latencyEstimate, route string) time.Duration {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if estimate := l.streamDuration[route]; estimate != nil {
-		return time.Duration(estimate.mean + streamDurationDeviations*estimate.deviation)
+	if estimate := estimates[route]; estimate != nil {
+		return time.Duration(estimate.mean + durationDeviations*estimate.deviation)
 	}
 	return 0
 }
