Answer or reset the requests that a stop aborts

Cause: when the grace ended, the daemon returned from main with requests in progress.

Change: 300 ms before SIGKILL the contexts of these requests are cancelled. The daemon waits up to 200 ms for that (requests_abandoned tells if it was not enough). The log no longer says that these callers left.

--- a/internal/app/forward/forward.go
+++ b/internal/app/forward/forward.go
@@ -8,6 +8,8 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/juju/errors"
+
 	"eelgrassgrade/internal/app/endpoints"
 	"eelgrassgrade/internal/app/fleet"
 	"eelgrassgrade/internal/core"
@@ -24,6 +26,10 @@
 	defaultTimeout = 30 * time.Second
 )
 
+// ErrStopping is the cause with which the contexts of requests are cancelled that are still
+// in progress when a stopping daemon ends.
+var ErrStopping = errors.New("the daemon ends")
+
 // Forwarder serves callers' requests with the endpoints of the catalog's pools.
 type Forwarder struct {
 	catalog     func() *catalog.Snapshot
@@ -161,7 +167,7 @@
 		rs.outcome.Route, rs.outcome.Pool, rs.outcome.Account, rs.outcome.Rank = rs.route, rs.pool, rs.account, rs.rank
 		rs.outcome.Total = f.now().Sub(r.Arrived)
 		rs.outcome.Err, rs.outcome.Cut = err, cut
-		rs.outcome.CallerLeft = callerCtx.Err() != nil
+		rs.outcome.CallerLeft = callerCtx.Err() != nil && context.Cause(callerCtx) != ErrStopping
 		f.events.RequestEnded(&rs.outcome)
 	}()
 	if err := f.resolve(rs); err != nil {
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -248,7 +248,9 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	d.log.Info().Str("dc", d.settings.DataCenter).Int("cores", d.settings.Cores).Float64("cpu_share", d.settings.CPUShare).Int("memory_mb", d.settings.MemoryMB).Msg("started")
-	callers := &http.Server{Handler: &platform.CallerHandler{Service: d.forward, MaxBody: maxBodyBytes, Now: time.Now}, MaxHeaderBytes: maxHeaderBytes,
+	requests, abortRequests := context.WithCancelCause(context.Background())
+	defer abortRequests(forward.ErrStopping)
+	callers := &http.Server{BaseContext: func(net.Listener) context.Context { return requests }, Handler: &platform.CallerHandler{Service: d.forward, MaxBody: maxBodyBytes, Now: time.Now}, MaxHeaderBytes: maxHeaderBytes,
 		ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}
 	ready := &http.Server{Handler: platform.ReadyHandler(d.ready), ReadHeaderTimeout: headerTimeout}
 	rpc := fleetrpc.NewServer(d.fleet, []*mirror.Table{d.configTable, d.endpointTable, d.daemonTable}, d.coordinator, d.limits, time.Now, d.stopping.Load)
@@ -289,5 +291,5 @@
 	go d.register(ctx)
 	go d.expireEndpointGrace(ctx)
 	go d.removeStaleDaemons(ctx)
-	return d.waitForStop(ctx, callers, failed)
+	return d.waitForStop(ctx, callers, abortRequests, failed)
 }
--- a/internal/edge/lifecycle.go
+++ b/internal/edge/lifecycle.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"eelgrassgrade/internal/app/fleet"
+	"eelgrassgrade/internal/app/forward"
 	"eelgrassgrade/internal/settings"
 )
 
@@ -19,6 +20,9 @@
 	// killMargin is the time that a stopping daemon leaves between the end of its
 	// requests and SIGKILL.
 	killMargin = 300 * time.Millisecond
+	// abortTime is how long a stopping daemon waits at its end for the answers to
+	// requests that it has aborted. It is a part of killMargin.
+	abortTime = 200 * time.Millisecond
 )
 
 // Shutdown stops the daemon as SIGTERM does. It does not wait: Run returns when the
@@ -30,8 +34,9 @@
 	}
 }
 
-// waitForStop handles signals and Shutdown until the daemon has stopped.
-func (d *Daemon) waitForStop(ctx context.Context, callers *http.Server, failed <-chan error) error {
+// waitForStop handles signals and Shutdown until the daemon has stopped. abortRequests
+// cancels the contexts of callers' requests.
+func (d *Daemon) waitForStop(ctx context.Context, callers *http.Server, abortRequests context.CancelCauseFunc, failed <-chan error) error {
 	signals := make(chan os.Signal, 4)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
 	for {
@@ -41,14 +46,14 @@
 		case <-ctx.Done():
 			return callers.Close()
 		case <-d.shutdown:
-			d.stop(callers)
+			d.stop(callers, abortRequests)
 			return nil
 		case s := <-signals:
 			if s == syscall.SIGHUP {
 				d.reload()
 				continue
 			}
-			d.stop(callers)
+			d.stop(callers, abortRequests)
 			return nil
 		}
 	}
@@ -72,8 +77,10 @@
 
 // stop shuts the daemon down. It makes the readiness check fail and announces the leave
 // to the other daemons, serves new requests until the load balancer has noticed, and
-// waits for the requests in progress.
-func (d *Daemon) stop(callers *http.Server) {
+// waits for the requests in progress. Those that are left at the end are aborted: the end
+// of the process would close their connections without an answer, and in order, which
+// ends a stream of a caller of HTTP/1.0.
+func (d *Daemon) stop(callers *http.Server, abortRequests context.CancelCauseFunc) {
 	began := time.Now()
 	d.stopping.Store(true)
 	d.fleet.Leave()
@@ -91,6 +98,12 @@
 	linger(ctx, lingerTime, time.Now, time.Sleep)
 	if err := callers.Shutdown(ctx); err != nil {
 		d.log.Warn().Int("in_progress", d.forward.Active()).Err(err).Msg("requests_cut")
+		abortRequests(forward.ErrStopping)
+		aborted, cancel := context.WithTimeout(context.Background(), abortTime)
+		defer cancel()
+		if err := callers.Shutdown(aborted); err != nil {
+			d.log.Warn().Int("in_progress", d.forward.Active()).Err(err).Msg("requests_abandoned")
+		}
 	}
 	d.log.Info().Int64("took_ms", time.Since(began).Milliseconds()).Msg("stopped")
 }
