Log restorations of the store and answers that are ignored

Nothing told that the store's answers came from a restored one, nor that a copy ignored them. store_restored and store_answer_ignored name both revisions (count of restorations, version), once for each table and restoration; two counters. No decision is changed.

--- a/internal/adapter/telemetry/hosted.go
+++ b/internal/adapter/telemetry/hosted.go
@@ -282,6 +282,24 @@
 	h.log.Warn().Str("table", table).Err(err).Msg("store_lost")
 }
 
+// StoreRestored implements mirror.Events.
+func (h *HostedRecorder) StoreRestored(table string, copied, answered core.StoreRevision) {
+	h.set.GetOrCreateCounter(fmt.Sprintf(`eelgrass_store_restorations_total{table=%q}`, table)).Inc()
+	addRevisions(h.log.Warn(), copied, answered).Str("table", table).Msg("store_restored")
+}
+
+// AnswerIgnored implements mirror.Events.
+func (h *HostedRecorder) AnswerIgnored(table string, copied, answered core.StoreRevision) {
+	h.set.GetOrCreateCounter(fmt.Sprintf(`eelgrass_store_answers_ignored_total{table=%q}`, table)).Inc()
+	addRevisions(h.log.Warn(), copied, answered).Str("table", table).Msg("store_answer_ignored")
+}
+
+// addRevisions adds the revisions of a copy and of an answer of the store to a line.
+func addRevisions(line *zerolog.Event, copied, answered core.StoreRevision) *zerolog.Event {
+	return line.Int64("copy_restorations", copied.Restorations).Int64("copy_version", copied.Version).
+		Int64("restorations", answered.Restorations).Int64("version", answered.Version)
+}
+
 // StoreRegained implements mirror.Events.
 func (h *HostedRecorder) StoreRegained(table string, outage time.Duration) {
 	h.log.Info().Str("table", table).Int64("outage_ms", outage.Milliseconds()).Msg("store_regained")
--- a/internal/app/mirror/follower.go
+++ b/internal/app/mirror/follower.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"github.com/juju/errors"
+
+	"eelgrassgrade/internal/core"
 )
 
 const (
@@ -38,6 +40,12 @@
 type Events interface {
 	// StoreLost reports the first failed call of an outage.
 	StoreLost(table string, err error)
+	// StoreRestored reports an answer of the store that shows another count of
+	// restorations than the answers before. copied is the revision of the copy.
+	StoreRestored(table string, copied, answered core.StoreRevision)
+	// AnswerIgnored reports an answer of the store that is older than the copy and was not
+	// used, once for each count of restorations.
+	AnswerIgnored(table string, copied, answered core.StoreRevision)
 	// StoreRegained reports the end of an outage and how long it took.
 	StoreRegained(table string, outage time.Duration)
 }
@@ -71,6 +79,10 @@
 	// whatever ReadsStore and UsesShortWait return. nil means false.
 	NoRecentAnswer func() bool
 
+	// restorations is the count of the store's last answer, and ignored the one of the
+	// last answer that was reported as ignored; -1 if there was none.
+	restorations, ignored int64
+
 	// pullFailed says that a pull failed since Run last checked. A daemon that does
 	// not read the store otherwise then reads it once.
 	pullFailed atomic.Bool
@@ -89,6 +101,7 @@
 // Run follows the table until ctx ends.
 func (f *Follower) Run(ctx context.Context) {
 	go f.followPeers(ctx)
+	f.restorations, f.ignored = -1, -1
 	var lost time.Time
 	regained := func() {
 		f.Table.recoveredAt.Store(time.Now())
@@ -181,9 +194,24 @@
 
 func (f *Follower) applyAnswer(b Batch) {
 	f.Table.answeredAt.Store(time.Now())
+	f.reportAnswer(b)
 	f.Table.Apply(b)
 }
 
+// reportAnswer reports restorations of the store and answers that are older than the copy.
+func (f *Follower) reportAnswer(b Batch) {
+	copied := core.StoreRevision{Restorations: f.restorations, Version: f.Table.Snapshot().Version}
+	answered := core.StoreRevision{Restorations: b.Restorations, Version: b.Version}
+	if f.restorations >= 0 && b.Restorations != f.restorations {
+		f.Events.StoreRestored(f.Table.name, copied, answered)
+	}
+	if b.Version < copied.Version && b.Restorations != f.ignored {
+		f.ignored = b.Restorations
+		f.Events.AnswerIgnored(f.Table.name, copied, answered)
+	}
+	f.restorations = b.Restorations
+}
+
 // cancelWithoutRecentAnswer cancels a call with LongWait once NoRecentAnswer returns
 // true: the call's own connection may not deliver anything either.
 func (f *Follower) cancelWithoutRecentAnswer(call context.Context, cancel context.CancelFunc) {
--- a/internal/app/mirror/mirror.go
+++ b/internal/app/mirror/mirror.go
@@ -36,6 +36,8 @@
 type Batch struct {
 	Rows    []Row
 	Version int64
+	// Restorations is how often the store had been restored when it gave the rows.
+	Restorations int64
 	// Full says that the batch holds all rows of the table.
 	Full bool
 	// OutageEnd is set in a batch from another daemon. It is the end of the last
--- a/internal/app/mirror/mirror_test.go
+++ b/internal/app/mirror/mirror_test.go
@@ -11,6 +11,8 @@
 
 	"github.com/juju/errors"
 	"pgregory.net/rapid"
+
+	"eelgrassgrade/internal/core"
 )
 
 func row(key string, version int64) Row {
@@ -150,8 +152,10 @@
 
 type events struct{ lost, regained atomic.Int32 }
 
-func (e *events) StoreLost(string, error)             { e.lost.Add(1) }
-func (e *events) StoreRegained(string, time.Duration) { e.regained.Add(1) }
+func (e *events) StoreLost(string, error)                                      { e.lost.Add(1) }
+func (e *events) StoreRestored(string, core.StoreRevision, core.StoreRevision) {}
+func (e *events) AnswerIgnored(string, core.StoreRevision, core.StoreRevision) {}
+func (e *events) StoreRegained(string, time.Duration)                          { e.regained.Add(1) }
 
 // follow runs f while a Follower keeps table up to date.
 func follow(t *testing.T, f func(*store, *peers, *Table, *events)) {
