Compress a row again if its value differs

After a restoration the store gives out versions again. The cache of compressed rows found the value of a lost configuration under the version of a new one, and sent it to daemons that pulled the new one.

Change: the cache compares values. They share memory with the table's row, so that equal ones are mostly the same bytes and cost nothing to compare.

TestAReusedVersionIsCompressedAgain: 'value of b arrived as value of a' before.

--- a/internal/adapter/fleetrpc/compress.go
+++ b/internal/adapter/fleetrpc/compress.go
@@ -26,10 +26,9 @@
 	rows map[string]compressedRow
 }
 
-type compressedRow struct {
-	version int64
-	data    []byte
-}
+// compressedRow is a value and its compressed form. The value is that of the table's row, of
+// which no copy is made.
+type compressedRow struct{ value, data []byte }
 
 func newRowCompressor() *rowCompressor { return &rowCompressor{rows: map[string]compressedRow{}} }
 
@@ -43,12 +42,12 @@
 	defer c.mu.Unlock()
 	key := table + "/" + r.Key
 	cached, ok := c.rows[key]
-	if !ok || cached.version != r.Version {
+	if !ok || !bytes.Equal(cached.value, r.Value) {
 		data, err := deflateBytes(r.Value)
 		if err != nil || len(data) >= len(r.Value) {
 			return row
 		}
-		cached = compressedRow{r.Version, data}
+		cached = compressedRow{r.Value, data}
 		c.rows[key] = cached
 	}
 	row.Value, row.Compression = cached.data, fleetpb.Compression_COMPRESSION_DEFLATE
--- a/internal/adapter/fleetrpc/fleetrpc_test.go
+++ b/internal/adapter/fleetrpc/fleetrpc_test.go
@@ -230,6 +230,18 @@
 	}
 }
 
+// Guards against the compressed value of a version that the store has given out again to
+// another value, after it was restored from a copy.
+func TestAReusedVersionIsCompressedAgain(t *testing.T) {
+	c := newRowCompressor()
+	for _, content := range []string{"a", "b"} {
+		want := mirror.Row{Key: "config", Value: bytes.Repeat([]byte(content), minCompressedBytes), Version: 41}
+		if got, err := rowFromPB(c.toPB("op", want)); err != nil || !reflect.DeepEqual(got, want) {
+			t.Errorf("value of %s arrived as value of %.1s, %v", content, got.Value, err)
+		}
+	}
+}
+
 // Guards against results of another task, failures that lose in transit whether the task
 // ran, and daemons that accept tasks while they stop.
 func TestSubmit(t *testing.T) {
