--- a/internal/adapter/fleetrpc/bench_test.go
+++ b/internal/adapter/fleetrpc/bench_test.go
@@ -22,7 +22,7 @@
 func BenchmarkExchange(b *testing.B) {
 	const peers = 97
 	status := &fleet.Status{Member: fleet.Member{ID: "d", Address: "d", DataCenter: "x", Millicores: 192}, Incarnation: time.Now().UnixNano(),
-		Tables: map[string]int64{"op": 11, "servers": 4711, "eelgrass-daemons": 815}}
+		Tables: map[string]core.CopyPosition{"op": at(11), "servers": at(4711), "eelgrass-daemons": at(815)}}
 	for i := range 6 {
 		status.Loads = append(status.Loads, fleet.EndpointLoad{Endpoint: core.InstanceID(fmt.Sprint("i-7f3a91c", i)), Running: i, PrefillTokens: 1000 * i})
 	}
--- a/internal/adapter/fleetrpc/convert.go
+++ b/internal/adapter/fleetrpc/convert.go
@@ -18,15 +18,16 @@
 // differ.
 
 func memberToPB(m fleet.Member) *fleetpb.Member {
-	return &fleetpb.Member{Id: string(m.ID), Address: m.Address, DataCenter: string(m.DataCenter), Millicores: uint32(m.Millicores), GrantsPermits: m.GrantsPermits}
+	return &fleetpb.Member{Id: string(m.ID), Address: m.Address, DataCenter: string(m.DataCenter), Millicores: uint32(m.Millicores), GrantsPermits: m.GrantsPermits, CountsRestorations: m.CountsRestorations}
 }
 
 func memberFromPB(m *fleetpb.Member) fleet.Member {
-	return fleet.Member{ID: core.InstanceID(m.GetId()), Address: m.GetAddress(), DataCenter: core.DataCenterID(m.GetDataCenter()), Millicores: int(m.GetMillicores()), GrantsPermits: m.GetGrantsPermits()}
+	return fleet.Member{ID: core.InstanceID(m.GetId()), Address: m.GetAddress(), DataCenter: core.DataCenterID(m.GetDataCenter()), Millicores: int(m.GetMillicores()), GrantsPermits: m.GetGrantsPermits(), CountsRestorations: m.GetCountsRestorations()}
 }
 
 func statusToPB(now time.Time, s *fleet.Status) *fleetpb.Status {
-	out := &fleetpb.Status{Member: memberToPB(s.Member), Incarnation: s.Incarnation, Leaving: s.Leaving, Tables: s.Tables, Daemons: uint32(s.Daemons)}
+	out := &fleetpb.Status{Member: memberToPB(s.Member), Incarnation: s.Incarnation, Leaving: s.Leaving, Daemons: uint32(s.Daemons)}
+	positionsToPB(out, s.Tables)
 	for _, l := range s.Loads {
 		out.Loads = append(out.Loads, &fleetpb.EndpointLoad{Endpoint: string(l.Endpoint), Running: int32(l.Running),
 			PrefillTokens: int64(l.PrefillTokens), Failing: l.Failing})
@@ -58,7 +59,7 @@
 }
 
 func statusFromPB(now time.Time, s *fleetpb.Status) *fleet.Status {
-	out := &fleet.Status{Member: memberFromPB(s.GetMember()), Incarnation: s.GetIncarnation(), Leaving: s.GetLeaving(), Tables: s.GetTables(), Daemons: int(s.GetDaemons())}
+	out := &fleet.Status{Member: memberFromPB(s.GetMember()), Incarnation: s.GetIncarnation(), Leaving: s.GetLeaving(), Tables: positionsFromPB(s), Daemons: int(s.GetDaemons())}
 	for _, l := range s.GetLoads() {
 		out.Loads = append(out.Loads, fleet.EndpointLoad{Endpoint: core.InstanceID(l.GetEndpoint()), Running: int(l.GetRunning()),
 			PrefillTokens: int(l.GetPrefillTokens()), Failing: l.GetFailing()})
@@ -88,6 +89,57 @@
 	return out
 }
 
+// positionsToPB adds the positions of tables to a status. What they have in common is sent
+// once, since a status is sent several times a second to each peer.
+func positionsToPB(out *fleetpb.Status, tables map[string]core.CopyPosition) {
+	count := map[core.CopyPosition]int{}
+	var common core.CopyPosition
+	out.Tables = make(map[string]int64, len(tables))
+	for table, p := range tables {
+		out.Tables[table] = p.Version
+		p.Version = 0
+		if count[p]++; count[p] > count[common] {
+			common = p
+		}
+	}
+	out.Restored = restoredToPB(common)
+	for table, p := range tables {
+		if p.Version = 0; p == common {
+			continue
+		}
+		if out.RestoredByTable == nil {
+			out.RestoredByTable = map[string]*fleetpb.Restored{}
+		}
+		out.RestoredByTable[table] = restoredToPB(p)
+	}
+}
+
+func positionsFromPB(s *fleetpb.Status) map[string]core.CopyPosition {
+	tables := make(map[string]core.CopyPosition, len(s.GetTables()))
+	for table, version := range s.GetTables() {
+		restored := s.GetRestored()
+		if r, ok := s.GetRestoredByTable()[table]; ok {
+			restored = r
+		}
+		tables[table] = positionFromPB(restored, version)
+	}
+	return tables
+}
+
+func restoredToPB(p core.CopyPosition) *fleetpb.Restored {
+	return &fleetpb.Restored{Restorations: p.Restorations, PriorRestorations: p.Prior.Restorations, PriorVersion: p.Prior.Version}
+}
+
+// positionFromPB returns the position of a copy. A daemon that does not count restorations
+// sends nil.
+func positionFromPB(r *fleetpb.Restored, version int64) core.CopyPosition {
+	if r == nil {
+		return core.CopyPosition{StoreRevision: core.StoreRevision{Restorations: core.UnknownRestorations, Version: version}}
+	}
+	return core.CopyPosition{StoreRevision: core.StoreRevision{Restorations: r.GetRestorations(), Version: version},
+		Prior: core.StoreRevision{Restorations: r.GetPriorRestorations(), Version: r.GetPriorVersion()}}
+}
+
 func millisecondsAgo(now, at time.Time) uint32 {
 	return uint32(min(max(now.Sub(at).Milliseconds(), 0), math.MaxUint32))
 }
@@ -148,7 +200,7 @@
 const maxAge = 24 * time.Hour
 
 func (c *rowCompressor) batchToPB(now time.Time, table string, b mirror.Batch) *fleetpb.PullReply {
-	out := &fleetpb.PullReply{Version: b.Version, Full: b.Full}
+	out := &fleetpb.PullReply{Version: b.Position.Version, Restored: restoredToPB(b.Position), Full: b.Full}
 	if !b.OutageEnd.IsZero() {
 		ago := max(now.Sub(b.OutageEnd), 0).Microseconds()
 		out.OutageEndedUs = &ago
@@ -156,22 +208,37 @@
 	for _, r := range b.Rows {
 		out.Rows = append(out.Rows, c.toPB(table, r))
 	}
+	for _, r := range b.Held {
+		out.Held = append(out.Held, c.toPB(table, r))
+	}
 	return out
 }
 
 func batchFromPB(now time.Time, b *fleetpb.PullReply) (mirror.Batch, error) {
-	out := mirror.Batch{Version: b.GetVersion(), Full: b.GetFull()}
+	out := mirror.Batch{Position: positionFromPB(b.GetRestored(), b.GetVersion()), Full: b.GetFull()}
 	if b.OutageEndedUs != nil {
 		out.OutageEnd = now.Add(-time.Duration(b.GetOutageEndedUs()) * time.Microsecond)
 	}
-	for _, r := range b.GetRows() {
+	var err error
+	if out.Rows, err = rowsFromPB(b.GetRows()); err != nil {
+		return mirror.Batch{}, err
+	}
+	if out.Held, err = rowsFromPB(b.GetHeld()); err != nil {
+		return mirror.Batch{}, err
+	}
+	return out, nil
+}
+
+func rowsFromPB(list []*fleetpb.Row) ([]mirror.Row, error) {
+	var rows []mirror.Row
+	for _, r := range list {
 		row, err := rowFromPB(r)
 		if err != nil {
-			return mirror.Batch{}, err
+			return nil, err
 		}
-		out.Rows = append(out.Rows, row)
+		rows = append(rows, row)
 	}
-	return out, nil
+	return rows, nil
 }
 
 func taskToPB(now time.Time, group int, t *stagework.Task) *fleetpb.Task {
--- a/internal/adapter/fleetrpc/fleetrpc.go
+++ b/internal/adapter/fleetrpc/fleetrpc.go
@@ -120,13 +120,13 @@
 }
 
 // Pull returns the rows of another daemon's copy of a table that changed after the given
-// version.
-func (c *Client) Pull(ctx context.Context, address, table string, after int64) (mirror.Batch, error) {
+// position.
+func (c *Client) Pull(ctx context.Context, address, table string, after core.CopyPosition) (mirror.Batch, error) {
 	p, err := c.fleetClient(address)
 	if err != nil {
 		return mirror.Batch{}, err
 	}
-	r, err := p.Pull(ctx, &fleetpb.PullRequest{Table: table, After: after})
+	r, err := p.Pull(ctx, &fleetpb.PullRequest{Table: table, After: after.Version, Restored: restoredToPB(after)})
 	if err != nil {
 		return mirror.Batch{}, err
 	}
@@ -241,7 +241,7 @@
 	if t == nil {
 		return nil, status.Errorf(codes.NotFound, "table %q is not mirrored by this daemon", r.GetTable())
 	}
-	return s.compressor.batchToPB(s.now(), t.Name(), t.ChangesSince(r.GetAfter())), nil
+	return s.compressor.batchToPB(s.now(), t.Name(), t.ChangesSince(positionFromPB(r.GetRestored(), r.GetAfter()))), nil
 }
 
 // Submit implements fleetpb.FleetServer.
--- a/internal/adapter/fleetrpc/fleetrpc_test.go
+++ b/internal/adapter/fleetrpc/fleetrpc_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"fmt"
+	"maps"
 	"net"
 	"reflect"
 	"sync/atomic"
@@ -12,6 +13,7 @@
 
 	"google.golang.org/protobuf/proto"
 
+	"eelgrassgrade/internal/adapter/fleetrpc/fleetpb"
 	"eelgrassgrade/internal/app/endpoints"
 	"eelgrassgrade/internal/app/fleet"
 	"eelgrassgrade/internal/app/mirror"
@@ -82,7 +84,7 @@
 	d := &daemon{address: l.Addr().String(), table: mirror.NewTable("t", nil), received: make(chan *fleet.Status, 9)}
 	d.coordinator = stagework.NewCoordinator(t.Context(), fakePorts{}, neverPaused, fakePorts{}, fakePorts{}, fakePorts{}, time.Now)
 	f := fleet.New(fleet.Options{Self: fleet.Member{ID: "d", Address: d.address}, Events: fakePorts{}, Now: time.Now,
-		Source: func() *fleet.Status { return &fleet.Status{Tables: map[string]int64{"t": 7}} }, OnStatus: func(s *fleet.Status) { d.received <- s }})
+		Source: func() *fleet.Status { return &fleet.Status{Tables: map[string]core.CopyPosition{"t": at(7)}} }, OnStatus: func(s *fleet.Status) { d.received <- s }})
 	d.fleet = f
 	s := NewServer(f, []*mirror.Table{d.table}, d.coordinator, fakePorts{}, time.Now, d.stopping.Load)
 	go func() {
@@ -97,7 +99,7 @@
 // Guards against a status that is changed in transit.
 func TestStatusArrivesUnchanged(t *testing.T) {
 	d, c := startDaemon(t), NewClient(time.Now)
-	sent := &fleet.Status{Member: fleet.Member{ID: "me", Address: "a:1", DataCenter: "x", Millicores: 192, GrantsPermits: true}, Incarnation: 5, Leaving: true, Tables: map[string]int64{"t": 3},
+	sent := &fleet.Status{Member: fleet.Member{ID: "me", Address: "a:1", DataCenter: "x", Millicores: 192, GrantsPermits: true}, Incarnation: 5, Leaving: true, Tables: map[string]core.CopyPosition{"t": at(3)},
 		Loads: []fleet.EndpointLoad{{Endpoint: "e", Running: 2, PrefillTokens: 9000, Failing: true}}, Waits: []fleet.GroupWait{{StageGroup: fleet.StageGroup{Pool: "p", Group: 7}, Wait: []time.Duration{0, 1500 * time.Millisecond}}},
 		Suspects: []quarantine.ContentReport{{Fingerprint: 1 << 63, Crashes: 2}}, Known: []fleet.Member{{ID: "o", Address: "b:2", DataCenter: "y"}},
 		StoreAnswered: time.Now().Add(-time.Minute), Daemons: 7,
@@ -106,7 +108,7 @@
 			{Endpoint: "f", StartedMs: 78, Observation: ratelimit.Observation{PerSecond: ratelimit.Unlimited, SentAt: time.Now().Add(-time.Hour), ReceivedAt: time.Now()}},
 			{Endpoint: "g", Observation: ratelimit.Observation{SentAt: time.Now(), ReceivedAt: time.Now()}}}}
 	reply, err := c.Exchange(t.Context(), d.address, sent)
-	if err != nil || reply.Member.ID != "d" || reply.Tables["t"] != 7 {
+	if err != nil || reply.Member.ID != "d" || reply.Tables["t"] != at(7) {
 		t.Fatalf("reply %+v, %v", reply, err)
 	}
 	got := <-d.received
@@ -178,17 +180,17 @@
 // Guards against pulled rows or deletions that are lost in transit.
 func TestPull(t *testing.T) {
 	d, c := startDaemon(t), NewClient(time.Now)
-	d.table.Apply(mirror.Batch{Rows: []mirror.Row{{Key: "a", Value: []byte("x"), Version: 4}, {Key: "b", Version: 5}}, Version: 5, Full: true})
-	d.table.Apply(mirror.Batch{Rows: []mirror.Row{{Key: "b", Version: 6, Deleted: true}}, Version: 6})
-	all, err := c.Pull(t.Context(), d.address, "t", 0)
-	if err != nil || !all.Full || all.Version != 6 || len(all.Rows) != 1 || string(all.Rows[0].Value) != "x" {
+	d.table.Apply(mirror.Batch{Rows: []mirror.Row{{Key: "a", Value: []byte("x"), Version: 4}, {Key: "b", Version: 5}}, Position: at(5), Full: true})
+	d.table.Apply(mirror.Batch{Rows: []mirror.Row{{Key: "b", Version: 6, Deleted: true}}, Position: at(6)})
+	all, err := c.Pull(t.Context(), d.address, "t", core.CopyPosition{})
+	if err != nil || !all.Full || all.Position != at(6) || len(all.Rows) != 1 || string(all.Rows[0].Value) != "x" {
 		t.Errorf("all: %+v, %v", all, err)
 	}
-	some, err := c.Pull(t.Context(), d.address, "t", 5)
+	some, err := c.Pull(t.Context(), d.address, "t", at(5))
 	if err != nil || some.Full || len(some.Rows) != 1 || !some.Rows[0].Deleted {
 		t.Errorf("since 5: %+v, %v", some, err)
 	}
-	if _, err := c.Pull(t.Context(), d.address, "other", 0); err == nil {
+	if _, err := c.Pull(t.Context(), d.address, "other", core.CopyPosition{}); err == nil {
 		t.Error("the server returned rows of a table that is not mirrored")
 	}
 }
@@ -297,3 +299,62 @@
 		t.Errorf("%d parts take %d bytes, want %d at most", parts, got, 80*parts)
 	}
 }
+
+// at returns the position of a copy at a version of a store that was never restored.
+func at(version int64) core.CopyPosition {
+	return core.CopyPosition{StoreRevision: core.StoreRevision{Version: version}}
+}
+
+// Guards against positions of copies that are changed in transit, and against those of
+// daemons that do not count restorations, which must not seem newer than any other.
+func TestPositionsArriveUnchanged(t *testing.T) {
+	restored := func(restorations, version, priorVersion int64) core.CopyPosition {
+		return core.CopyPosition{StoreRevision: core.StoreRevision{Restorations: restorations, Version: version}, Prior: core.StoreRevision{Restorations: restorations - 1, Version: priorVersion}}
+	}
+	for name, tables := range map[string]map[string]core.CopyPosition{
+		"no tables":            {},
+		"never restored":       {"a": at(3), "b": at(9)},
+		"restored":             {"a": restored(2, 3, 7), "b": restored(2, 4, 7), "c": restored(2, 5, 7)},
+		"one table is behind":  {"a": restored(2, 3, 7), "b": restored(2, 4, 7), "c": at(9)},
+		"all tables differ":    {"a": restored(2, 3, 7), "b": restored(2, 3, 8), "c": restored(3, 3, 8)},
+		"the common one is at": {"a": at(3), "b": at(4), "c": restored(1, 1, 1)},
+	} {
+		got := statusFromPB(time.Now(), statusToPB(time.Now(), &fleet.Status{Tables: tables}))
+		if !maps.Equal(got.Tables, tables) {
+			t.Errorf("%s: %+v arrived as %+v", name, tables, got.Tables)
+		}
+	}
+	earlier := statusToPB(time.Now(), &fleet.Status{Tables: map[string]core.CopyPosition{"a": at(99)}})
+	earlier.Restored = nil
+	if p := statusFromPB(time.Now(), earlier).Tables["a"]; p.Compare(core.CopyPosition{}) >= 0 || p.Version != 99 {
+		t.Errorf("the position of an earlier version is %+v", p)
+	}
+}
+
+// Guards against a daemon of an earlier version that stops following this one: it names
+// only the version that it has.
+func TestPullOfAnEarlierVersion(t *testing.T) {
+	d, c := startDaemon(t), NewClient(time.Now)
+	p, err := c.fleetClient(d.address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	row := func(key string, version int64) mirror.Row { return mirror.Row{Key: key, Version: version} }
+	first := core.CopyPosition{StoreRevision: core.StoreRevision{Restorations: 1, Version: 5}}
+	d.table.Apply(mirror.Batch{Rows: []mirror.Row{row("a", 4), row("b", 5)}, Position: first, Full: true})
+	reply, err := p.Pull(t.Context(), &fleetpb.PullRequest{Table: "t", After: 4})
+	if err == nil && reply.Full {
+		// Deletions before the first full read are not known.
+		first.Version = 6
+		d.table.Apply(mirror.Batch{Rows: []mirror.Row{row("b", 6)}, Position: first})
+		reply, err = p.Pull(t.Context(), &fleetpb.PullRequest{Table: "t", After: 5})
+	}
+	if err != nil || reply.Full || len(reply.Rows) != 1 {
+		t.Errorf("before a restoration: %+v, %v", reply, err)
+	}
+	restored := core.CopyPosition{StoreRevision: core.StoreRevision{Restorations: 2, Version: 3}}
+	d.table.Apply(mirror.Batch{Rows: []mirror.Row{row("a", 3)}, Position: restored, Full: true})
+	if reply, err = p.Pull(t.Context(), &fleetpb.PullRequest{Table: "t", After: 5}); err != nil || !reply.Full || len(reply.Rows) != 1 {
+		t.Errorf("after a restoration: %+v, %v", reply, err)
+	}
+}
--- a/internal/adapter/telemetry/hosted.go
+++ b/internal/adapter/telemetry/hosted.go
@@ -283,9 +283,14 @@
 }
 
 // StoreRestored implements mirror.Events.
-func (h *HostedRecorder) StoreRestored(table string, copied, answered core.StoreRevision) {
+func (h *HostedRecorder) StoreRestored(table string, copied, answered core.StoreRevision, held int) {
 	h.set.GetOrCreateCounter(fmt.Sprintf(`eelgrass_store_restorations_total{table=%q}`, table)).Inc()
-	addRevisions(h.log.Warn(), copied, answered).Str("table", table).Msg("store_restored")
+	addRevisions(h.log.Warn(), copied, answered).Str("table", table).Int("held", held).Msg("store_restored")
+}
+
+// RestoredRowsWritten implements mirror.Events.
+func (h *HostedRecorder) RestoredRowsWritten(table string, took time.Duration) {
+	h.log.Info().Str("table", table).Int64("took_ms", took.Milliseconds()).Msg("store_restoration_ended")
 }
 
 // AnswerIgnored implements mirror.Events.
@@ -316,23 +321,24 @@
 	h.log.Warn().Str("peer", string(m.ID)).Str("address", m.Address).Int64("silent_ms", silent.Milliseconds()).Msg("peer_lost")
 }
 
-// EndpointsChanged logs changes of the endpoint list.
-func (h *HostedRecorder) EndpointsChanged(changes []endpoints.Change, version int64) {
+// EndpointsChanged logs changes of the endpoint list. list is the revision of the store that
+// has them.
+func (h *HostedRecorder) EndpointsChanged(changes []endpoints.Change, list core.StoreRevision) {
 	for _, c := range changes {
 		h.log.Info().Str("pool", string(c.Entry.Pool)).Str("endpoint", string(c.Entry.ID)).Str("address", c.Entry.Address).
-			Str("dc", string(c.Entry.DataCenter)).Str("what", c.Kind).Int64("version", version).Msg("endpoint_listed")
+			Str("dc", string(c.Entry.DataCenter)).Str("what", c.Kind).Int64("version", list.Version).Int64("restorations", list.Restorations).Msg("endpoint_listed")
 	}
 }
 
 // ConfigChanged logs that a configuration is now in force or, with err set, that
-// it could not be read.
-func (h *HostedRecorder) ConfigChanged(version, row int64, err error) {
+// it could not be read. row is the revision of the store that has it.
+func (h *HostedRecorder) ConfigChanged(version int64, row core.StoreRevision, err error) {
 	if err != nil {
-		h.log.Error().Int64("row", row).Err(err).Msg("config_unreadable")
+		h.log.Error().Int64("row", row.Version).Int64("restorations", row.Restorations).Err(err).Msg("config_unreadable")
 		return
 	}
 	h.set.GetOrCreateCounter(`eelgrass_config_changes_total`).Inc()
-	h.log.Info().Int64("config", version).Int64("row", row).Msg("config_in_force")
+	h.log.Info().Int64("config", version).Int64("row", row.Version).Int64("restorations", row.Restorations).Msg("config_in_force")
 }
 
 // EntriesSkipped logs when entries of the endpoint list become unreadable and when
--- a/internal/app/fleet/fleet.go
+++ b/internal/app/fleet/fleet.go
@@ -97,6 +97,9 @@
 	// GrantsPermits says that the daemon grants permits for endpoints that name a limit,
 	// which earlier versions do not.
 	GrantsPermits bool
+	// CountsRestorations says that the daemon knows how often the platform's store was
+	// restored, which earlier versions do not.
+	CountsRestorations bool
 }
 
 // EndpointLoad is what one daemon has in progress on an endpoint.
@@ -137,8 +140,8 @@
 	// is not necessarily later than that of the previous run.
 	Incarnation int64
 	Leaving     bool
-	// Tables holds the version of the last change of each mirrored table.
-	Tables   map[string]int64
+	// Tables holds the position of the last change of each mirrored table.
+	Tables   map[string]core.CopyPosition
 	Loads    []EndpointLoad
 	Waits    []GroupWait
 	Suspects []quarantine.ContentReport
--- a/internal/app/fleet/fleet_test.go
+++ b/internal/app/fleet/fleet_test.go
@@ -91,7 +91,7 @@
 		for i := range n {
 			x := New(Options{Self: member(i), Transport: net, Events: noEvents{}, OnStatus: func(*Status) {}, Now: time.Now,
 				Source: func() *Status {
-					s := &Status{Tables: map[string]int64{"t": int64(i)}}
+					s := &Status{Tables: map[string]core.CopyPosition{"t": at(int64(i))}}
 					if l := net.loads.Load(); i == 0 && l != nil {
 						s.Loads = []EndpointLoad{*l}
 					}
@@ -132,7 +132,7 @@
 				t.Errorf("daemon %d ranks %s first, daemon 0 %s", i, b.ID, a.ID)
 			}
 		}
-		if got := list[0].View().Newest["t"]; got.Version != 5 || got.Address != "a5" {
+		if got := list[0].View().Newest["t"]; got.Position != at(5) || got.Address != "a5" {
 			t.Errorf("the newest copy is %v", got)
 		}
 	})
--- a/internal/app/fleet/status.go
+++ b/internal/app/fleet/status.go
@@ -121,12 +121,13 @@
 		p.alive = true
 		f.events.PeerAlive(p.member)
 	}
-	for table, version := range s.Tables {
-		switch h := f.newest[table]; {
-		case version > h.Version:
-			f.newest[table] = Holder{version, s.Member.Address}
+	for table, position := range s.Tables {
+		h := f.newest[table]
+		switch c := position.Compare(h.Position); {
+		case c > 0:
+			f.newest[table] = Holder{position, s.Member.Address}
 			changed = true
-		case version < h.Version && h.Address == s.Member.Address:
+		case c < 0 && h.Address == s.Member.Address:
 			f.findNewest()
 			changed = true
 		}
@@ -151,7 +152,7 @@
 	f.events.PeerLost(p.member, f.now().Sub(p.receivedAt))
 }
 
-// findNewest recomputes the newest version of each table from all live peers. The caller
+// findNewest recomputes the newest position of each table from all live peers. The caller
 // holds mu.
 func (f *Fleet) findNewest() {
 	clear(f.newest)
@@ -159,9 +160,9 @@
 		if !p.alive {
 			continue
 		}
-		for table, version := range p.status.Tables {
-			if version > f.newest[table].Version {
-				f.newest[table] = Holder{version, p.member.Address}
+		for table, position := range p.status.Tables {
+			if position.Compare(f.newest[table].Position) > 0 {
+				f.newest[table] = Holder{position, p.member.Address}
 			}
 		}
 	}
--- a/internal/app/fleet/totals_test.go
+++ b/internal/app/fleet/totals_test.go
@@ -12,6 +12,20 @@
 	"eelgrassgrade/internal/core"
 )
 
+// at returns the position of a copy at a version of a store that was never restored.
+func at(version int64) core.CopyPosition {
+	return core.CopyPosition{StoreRevision: core.StoreRevision{Version: version}}
+}
+
+// drawPosition draws a position of a copy, also since restorations of the store.
+func drawPosition(t *rapid.T) core.CopyPosition {
+	p := at(int64(rapid.IntRange(0, 9).Draw(t, "version")))
+	if p.Restorations = int64(rapid.IntRange(0, 2).Draw(t, "restorations")); p.Restorations > 0 {
+		p.Prior = core.StoreRevision{Restorations: p.Restorations - 1, Version: int64(rapid.IntRange(0, 9).Draw(t, "prior version"))}
+	}
+	return p
+}
+
 // newIdleFleet returns a fleet that starts no exchanges, and its clock.
 func newIdleFleet() (*Fleet, *time.Time) {
 	now := time.Unix(1000, 0)
@@ -35,9 +49,9 @@
 			}
 			v.Waits[w.StageGroup][s.Member.ID] = w.Wait
 		}
-		for table, version := range s.Tables {
-			if version > v.Newest[table].Version {
-				v.Newest[table] = Holder{Version: version}
+		for table, position := range s.Tables {
+			if position.Compare(v.Newest[table].Position) > 0 {
+				v.Newest[table] = Holder{Position: position}
 			}
 		}
 		if !s.Leaving {
@@ -59,7 +73,7 @@
 			*now = now.Add(time.Duration(rapid.IntRange(0, 700).Draw(t, "ms")) * time.Millisecond)
 			i := rapid.IntRange(0, 5).Draw(t, "daemon")
 			s := &Status{Member: member(i), Incarnation: int64(rapid.IntRange(1, 3).Draw(t, "incarnation")), Leaving: rapid.Bool().Draw(t, "leaving"),
-				Tables: map[string]int64{"t": int64(rapid.IntRange(0, 9).Draw(t, "version"))}}
+				Tables: map[string]core.CopyPosition{"t": drawPosition(t)}}
 			for e := range rapid.IntRange(0, 3).Draw(t, "loads") {
 				s.Loads = append(s.Loads, EndpointLoad{Endpoint: core.InstanceID(fmt.Sprint("e", e)), Running: rapid.IntRange(0, 3).Draw(t, "running"),
 					PrefillTokens: rapid.IntRange(0, 9).Draw(t, "tokens"), Failing: rapid.Bool().Draw(t, "failing")})
@@ -81,10 +95,10 @@
 			got, want := f.View(), sumStatuses(live)
 			newest := map[string]Holder{}
 			for table, h := range got.Newest {
-				if h.Version > 0 {
-					newest[table] = Holder{Version: h.Version}
-					if live[h.Address].Tables[table] != h.Version {
-						t.Fatalf("%s does not have version %d", h.Address, h.Version)
+				if h.Position != (core.CopyPosition{}) {
+					newest[table] = Holder{Position: h.Position}
+					if live[h.Address].Tables[table] != h.Position {
+						t.Fatalf("%s does not have position %+v", h.Address, h.Position)
 					}
 				}
 			}
@@ -105,7 +119,7 @@
 func newLargeFleet(n int) (*Fleet, *time.Time, func(i int) *Status) {
 	f, now := newIdleFleet()
 	status := func(i int) *Status {
-		s := &Status{Member: member(i % n), Incarnation: 1, Tables: map[string]int64{"t": 1}}
+		s := &Status{Member: member(i % n), Incarnation: 1, Tables: map[string]core.CopyPosition{"t": at(1)}}
 		for e := range 10 {
 			s.Loads = append(s.Loads, EndpointLoad{Endpoint: core.InstanceID(fmt.Sprint("e", (i+e)%200)), Running: e})
 		}
@@ -135,7 +149,7 @@
 func TestSumsAreCurrentWhenRead(t *testing.T) {
 	f, now, _ := newLargeFleet(20)
 	f.expirePeers()
-	f.receive(&Status{Member: member(3), Incarnation: 1, Tables: map[string]int64{"t": 1}, Loads: []EndpointLoad{{Endpoint: "new", Running: 7}}})
+	f.receive(&Status{Member: member(3), Incarnation: 1, Tables: map[string]core.CopyPosition{"t": at(1)}, Loads: []EndpointLoad{{Endpoint: "new", Running: 7}}})
 	*now = now.Add(maxViewAge)
 	if got := f.View().Loads["new"].Running; got != 7 {
 		t.Errorf("%v after a daemon reported 7 requests the view has %d", maxViewAge, got)
--- a/internal/app/fleet/view.go
+++ b/internal/app/fleet/view.go
@@ -21,7 +21,7 @@
 	// Waits holds the waits of each group by the daemon that reported them as the group's
 	// coordinator.
 	Waits map[StageGroup]map[core.InstanceID][]time.Duration
-	// Newest holds the highest version of each table and a daemon that has it.
+	// Newest holds the newest position of each table and a daemon that has it.
 	Newest map[string]Holder
 
 	rankings *rankCache
@@ -40,10 +40,10 @@
 	dataCenter core.DataCenterID
 }
 
-// Holder is the address of a daemon that has a version of a table.
+// Holder is the address of a daemon whose copy of a table has a position.
 type Holder struct {
-	Version int64
-	Address string
+	Position core.CopyPosition
+	Address  string
 }
 
 const (
--- a/internal/app/mirror/clock_test.go
+++ b/internal/app/mirror/clock_test.go
@@ -13,7 +13,7 @@
 func TestTimesHaveAMonotonicReading(t *testing.T) {
 	table := NewTable("t", nil)
 	f := &Follower{Table: table}
-	f.applyAnswer(Batch{Version: 1})
+	f.applyAnswer(Batch{Position: at(1)})
 	table.recoveredAt.Store(time.Now())
 	table.notePeerOutageEnd(time.Now())
 	for name, at := range map[string]time.Time{"LastAnswer": table.LastAnswer(), "OutageEnd": table.OutageEnd(time.Now()), "peerOutageEnd": table.peerOutageEnd.Load()} {
--- a/internal/app/mirror/follower.go
+++ b/internal/app/mirror/follower.go
@@ -40,9 +40,12 @@
 type Events interface {
 	// StoreLost reports the first failed call of an outage.
 	StoreLost(table string, err error)
-	// StoreRestored reports an answer of the store that shows another count of
-	// restorations than the answers before. copied is the revision of the copy.
-	StoreRestored(table string, copied, answered core.StoreRevision)
+	// StoreRestored reports that the copy has followed a restoration of the store from the
+	// revision copied to answered, and keeps held rows and deletions in place of the
+	// store's.
+	StoreRestored(table string, copied, answered core.StoreRevision, held int)
+	// RestoredRowsWritten reports that no row is held any more, and how long that took.
+	RestoredRowsWritten(table string, took time.Duration)
 	// AnswerIgnored reports an answer of the store that is older than the copy and was not
 	// used, once for each count of restorations.
 	AnswerIgnored(table string, copied, answered core.StoreRevision)
@@ -79,9 +82,12 @@
 	// whatever ReadsStore and UsesShortWait return. nil means false.
 	NoRecentAnswer func() bool
 
-	// restorations is the count of the store's last answer, and ignored the one of the
-	// last answer that was reported as ignored; -1 if there was none.
-	restorations, ignored int64
+	// ignored is the count of restorations of the last answer that was reported as
+	// ignored, -1 if there was none.
+	ignored int64
+
+	// restoredAt is when the last restoration was reported; zero if no row is held since.
+	restoredAt time.Time
 
 	// pullFailed says that a pull failed since Run last checked. A daemon that does
 	// not read the store otherwise then reads it once.
@@ -101,7 +107,7 @@
 // Run follows the table until ctx ends.
 func (f *Follower) Run(ctx context.Context) {
 	go f.followPeers(ctx)
-	f.restorations, f.ignored = -1, -1
+	f.ignored = -1
 	var lost time.Time
 	regained := func() {
 		f.Table.recoveredAt.Store(time.Now())
@@ -114,7 +120,7 @@
 		isReader := reads
 		reads = reads || f.noRecentAnswer()
 		f.Table.readsStore.Store(reads)
-		if !reads && f.Table.Snapshot().Version > 0 {
+		if !reads && f.Table.Snapshot().Position.Version > 0 {
 			if !lost.IsZero() {
 				// Other daemons have answers from the store again and pass them on.
 				regained()
@@ -152,13 +158,13 @@
 	}
 }
 
-// readStore reads the changes of the table, or the whole table if the copy is empty
-// or the store no longer has the changes. If recovering is set, the call does not
+// readStore reads the changes of the table, or the whole table if the copy is empty, or
+// the store no longer has the changes or was restored. If recovering is set, the call does not
 // wait for a change, so that the end of an outage is noticed when it happens. That
 // time decides whether a missing endpoint counts as gone.
 func (f *Follower) readStore(ctx context.Context, recovering bool) error {
 	s := f.Table.Snapshot()
-	if s.Version > 0 {
+	if s.Position.Version > 0 {
 		wait, long := f.wait()
 		if recovering {
 			wait = 0
@@ -167,12 +173,15 @@
 		if long {
 			go f.cancelWithoutRecentAnswer(call, cancel)
 		}
-		b, err := f.Store.Changes(call, f.Table.name, s.Version, wait)
+		b, err := f.Store.Changes(call, f.Table.name, s.Position.StoreRevision, wait)
 		cancel()
-		if err == nil {
+		if err == nil && b.Position.Restorations <= s.Position.Restorations {
 			f.applyAnswer(b)
 			return nil
 		}
+		if err == nil {
+			err = ErrHistoryLost
+		}
 		if long && f.noRecentAnswer() {
 			// The call was cancelled; the next one uses the short Wait.
 			return nil
@@ -194,22 +203,27 @@
 
 func (f *Follower) applyAnswer(b Batch) {
 	f.Table.answeredAt.Store(time.Now())
-	f.reportAnswer(b)
+	if copied := f.Table.Snapshot().Position.StoreRevision; b.Position.StoreRevision.Compare(copied) < 0 && b.Position.Restorations != f.ignored {
+		f.ignored = b.Position.Restorations
+		f.Events.AnswerIgnored(f.Table.name, copied, b.Position.StoreRevision)
+	}
 	f.Table.Apply(b)
 }
 
-// reportAnswer reports restorations of the store and answers that are older than the copy.
-func (f *Follower) reportAnswer(b Batch) {
-	copied := core.StoreRevision{Restorations: f.restorations, Version: f.Table.Snapshot().Version}
-	answered := core.StoreRevision{Restorations: b.Restorations, Version: b.Version}
-	if f.restorations >= 0 && b.Restorations != f.restorations {
-		f.Events.StoreRestored(f.Table.name, copied, answered)
+// reportRestorations reports restorations that the copy has followed, by itself or with
+// rows from a peer. copied is the position of the copy at the last call, which the result
+// replaces.
+func (f *Follower) reportRestorations(copied core.CopyPosition) core.CopyPosition {
+	position, held := f.Table.Snapshot().Position, f.Table.Held()
+	if copied.Version > 0 && position.Restorations != copied.Restorations {
+		f.restoredAt = time.Now()
+		f.Events.StoreRestored(f.Table.name, copied.StoreRevision, position.StoreRevision, held)
 	}
-	if b.Version < copied.Version && b.Restorations != f.ignored {
-		f.ignored = b.Restorations
-		f.Events.AnswerIgnored(f.Table.name, copied, answered)
+	if held == 0 && !f.restoredAt.IsZero() {
+		f.Events.RestoredRowsWritten(f.Table.name, time.Since(f.restoredAt))
+		f.restoredAt = time.Time{}
 	}
-	f.restorations = b.Restorations
+	return position
 }
 
 // cancelWithoutRecentAnswer cancels a call with LongWait once NoRecentAnswer returns
@@ -224,13 +238,17 @@
 	}
 }
 
-// followPeers pulls versions that are newer than the copy from other daemons.
+// followPeers pulls what is newer than the copy from other daemons, and ends the holding of
+// rows since a restoration.
 func (f *Follower) followPeers(ctx context.Context) {
 	var pausedUntil time.Time
+	var reported core.CopyPosition
 	for ctx.Err() == nil {
 		sleep(ctx, peerPollInterval)
-		have := f.Table.Snapshot().Version
-		if f.Peers.NewestVersion(f.Table.name) <= have || (f.Table.StoreOK() && have > 0 && !f.FollowPeers) || time.Now().Before(pausedUntil) {
+		f.Table.expireHeld(time.Now())
+		reported = f.reportRestorations(reported)
+		have := f.Table.Snapshot().Position
+		if f.Peers.Newest(f.Table.name).Compare(have) <= 0 || (f.Table.StoreOK() && have.Version > 0 && !f.FollowPeers) || time.Now().Before(pausedUntil) {
 			continue
 		}
 		call, cancel := context.WithTimeout(ctx, pullTimeout)
@@ -243,7 +261,7 @@
 		}
 		f.Table.notePeerOutageEnd(b.OutageEnd)
 		f.Table.Apply(b)
-		if f.Table.Snapshot().Version == have {
+		if f.Table.Snapshot().Position == have {
 			// The peer no longer has the version, for instance after a restart.
 			pausedUntil = time.Now().Add(emptyPullPause)
 		}
--- a/internal/app/mirror/mirror.go
+++ b/internal/app/mirror/mirror.go
@@ -11,6 +11,8 @@
 	"time"
 
 	"github.com/juju/errors"
+
+	"eelgrassgrade/internal/core"
 )
 
 const (
@@ -27,19 +29,21 @@
 type Row struct {
 	Key   string
 	Value []byte
-	// Version is the version of the store with which the row was written or deleted.
+	// Version is the version of the store with which the row was written or deleted. It
+	// can be compared only with versions since the same restoration.
 	Version int64
 	Deleted bool
 }
 
-// Batch is a set of rows as of a version of the store.
+// Batch is a set of rows as of a state of the store.
 type Batch struct {
-	Rows    []Row
-	Version int64
-	// Restorations is how often the store had been restored when it gave the rows.
-	Restorations int64
+	Rows     []Row
+	Position core.CopyPosition
 	// Full says that the batch holds all rows of the table.
 	Full bool
+	// Held is set in a batch from another daemon. It holds the rows and deletions from
+	// before the last restoration that the daemon keeps in place of the store's rows.
+	Held []Row
 	// OutageEnd is set in a batch from another daemon. It is the end of the last
 	// outage of the store as that daemon saw it: the time of the pull if the outage
 	// goes on, the zero time if there was none.
@@ -50,29 +54,29 @@
 type Store interface {
 	// Read returns all rows of a table.
 	Read(ctx context.Context, table string) (Batch, error)
-	// Changes returns the rows that changed after a version, in the order of the
-	// changes. If there are none, it waits for the first one, for at most wait.
-	Changes(ctx context.Context, table string, after int64, wait time.Duration) (Batch, error)
+	// Changes returns the rows that changed after a revision, in the order of the
+	// changes. If there are none, it waits for the first one, for at most wait. If the
+	// store has been restored since, the batch shows it by its position, or the error is
+	// ErrHistoryLost.
+	Changes(ctx context.Context, table string, after core.StoreRevision, wait time.Duration) (Batch, error)
 }
 
 // Peers reads the copies of other daemons.
 type Peers interface {
-	// NewestVersion returns the highest Snapshot.LastChange of the table among the
-	// live daemons.
-	NewestVersion(table string) int64
-	// Pull returns the changes after a version from a daemon that has the newest
-	// version.
-	Pull(ctx context.Context, table string, after int64) (Batch, error)
+	// Newest returns the newest Snapshot.LastChange of the table among the live daemons.
+	Newest(table string) core.CopyPosition
+	// Pull returns the changes after a position from a daemon that has the newest one.
+	Pull(ctx context.Context, table string, after core.CopyPosition) (Batch, error)
 }
 
 // Snapshot is an immutable copy of a table.
 type Snapshot struct {
 	Rows map[string]Row
-	// Version is the version of the store up to which the copy is complete. It also
+	// Position is the state of the store up to which the copy is complete. It also
 	// grows when other tables change.
-	Version int64
-	// LastChange is the version of the last known change of this table.
-	LastChange int64
+	Position core.CopyPosition
+	// LastChange is the position of the last known change of this table.
+	LastChange core.CopyPosition
 }
 
 // Table is the copy of one table.
@@ -82,16 +86,25 @@
 	// onChange is called after each change, by one goroutine at a time.
 	onChange func(*Snapshot)
 
-	mu         sync.Mutex
+	mu sync.Mutex
+	// stored holds the rows that the store has. It is the map of the snapshot unless rows
+	// are held in their place.
+	stored map[string]Row
+	// held holds the rows and deletions from before the last restoration that are kept in
+	// place of the store's rows, and policy decides on them.
+	held   map[string]heldRow
+	policy RestorePolicy
+	// tombstones holds the rows that were deleted since the last restoration.
 	tombstones []Row
 	// tombstonesDroppedTo is the version of the newest tombstone that was dropped.
 	tombstonesDroppedTo int64
 
 	storeOK atomic.Bool
-	// recoveredAt is when this daemon last saw an outage of the store end,
+	// restoredAt is when this daemon noticed the last restoration of the store,
+	// recoveredAt when it last saw an outage of the store end,
 	// peerOutageEnd the latest end of an outage that another daemon reported, and
 	// answeredAt when the store last answered a call of this daemon.
-	recoveredAt, peerOutageEnd, answeredAt atomicTime
+	restoredAt, recoveredAt, peerOutageEnd, answeredAt atomicTime
 	// readsStore says that this daemon currently reads the store.
 	readsStore atomic.Bool
 }
@@ -117,8 +130,8 @@
 	if onChange == nil {
 		onChange = func(*Snapshot) {}
 	}
-	t := &Table{name: name, onChange: onChange}
-	t.snapshot.Store(&Snapshot{Rows: map[string]Row{}})
+	t := &Table{name: name, onChange: onChange, stored: map[string]Row{}, held: map[string]heldRow{}}
+	t.snapshot.Store(&Snapshot{Rows: t.stored})
 	t.storeOK.Store(true)
 	t.readsStore.Store(true)
 	return t
@@ -139,62 +152,103 @@
 
 // OutageEnd returns the end of the last outage of the store: now if the outage goes
 // on, the zero time if there was none. On a daemon that does not read the store, it
-// is the one reported by the daemons from which it pulls.
+// is the one reported by the daemons from which it pulls. A restoration counts as an
+// outage that ended when this daemon noticed it.
 func (t *Table) OutageEnd(now time.Time) time.Time {
-	if !t.readsStore.Load() {
-		return t.peerOutageEnd.Load()
-	}
-	if !t.storeOK.Load() {
+	end := t.recoveredAt.Load()
+	switch {
+	case !t.readsStore.Load():
+		end = t.peerOutageEnd.Load()
+	case !t.storeOK.Load():
 		return now
 	}
-	return t.recoveredAt.Load()
+	if restored := t.restoredAt.Load(); restored.After(end) {
+		end = restored
+	}
+	return end
 }
 
 // Apply applies a batch and reports whether rows changed. It ignores a batch with an
-// older version than the copy, so that the copy never goes back to an older state.
+// older position than the copy, so that the copy never goes back to an older state, and
+// a batch since a later restoration unless it is full.
 func (t *Table) Apply(b Batch) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	old := t.snapshot.Load()
-	if b.Version < old.Version || (b.Version == old.Version && len(old.Rows) > 0) {
+	s := t.snapshot.Load()
+	next := *s
+	changed := false
+	switch {
+	case b.Position.Restorations < s.Position.Restorations && s.Position.Version > 0:
 		return false
+	case b.Position.Restorations > s.Position.Restorations && s.Position.Version > 0:
+		if !b.Full {
+			return false
+		}
+		t.restore(&next, b)
+		changed = true
+	default:
+		if b.Position.Version > s.Position.Version || b.Position.Version == s.Position.Version && len(t.stored) == 0 {
+			changed = t.applyRows(&next, b)
+			next.Position.StoreRevision = b.Position.StoreRevision
+		}
+		changed = t.replaceHeld(&next, b) || changed
 	}
-	next := &Snapshot{Version: b.Version, LastChange: old.LastChange, Rows: make(map[string]Row, len(old.Rows)+len(b.Rows))}
+	next.LastChange.Restorations, next.LastChange.Prior = next.Position.Restorations, next.Position.Prior
+	t.publish(&next, changed)
+	return changed
+}
+
+// applyRows applies the rows of a batch since the same restoration as the copy and reports
+// whether rows changed.
+func (t *Table) applyRows(next *Snapshot, b Batch) bool {
+	changed := b.Full && next.Position.Version == 0
+	old := t.stored
+	rows := make(map[string]Row, len(old)+len(b.Rows))
 	if !b.Full {
-		maps.Copy(next.Rows, old.Rows)
+		maps.Copy(rows, old)
 	}
-	changed := b.Full && old.Version == 0
 	for _, r := range b.Rows {
-		next.LastChange = max(next.LastChange, r.Version)
-		if known, ok := old.Rows[r.Key]; !ok || known.Version < r.Version {
+		next.LastChange.Version = max(next.LastChange.Version, r.Version)
+		known, ok := old[r.Key]
+		if !ok || known.Version < r.Version {
 			changed = true
+			t.releaseHeld(r)
 		} else if b.Full {
 			r = known
 		}
-		if newer, ok := next.Rows[r.Key]; ok && newer.Version > r.Version {
+		if newer, ok := rows[r.Key]; ok && newer.Version > r.Version {
 			continue
 		}
 		if r.Deleted {
-			delete(next.Rows, r.Key)
+			delete(rows, r.Key)
 			t.addTombstone(r)
 			continue
 		}
-		next.Rows[r.Key] = r
+		rows[r.Key] = r
 	}
 	if b.Full {
-		for key, r := range old.Rows {
-			if _, ok := next.Rows[key]; !ok {
+		for key, r := range old {
+			if _, ok := rows[key]; !ok {
 				changed = true
-				next.LastChange = b.Version
-				t.addTombstone(Row{Key: key, Version: max(r.Version, b.Version), Deleted: true})
+				next.LastChange.Version = b.Position.Version
+				deleted := Row{Key: key, Version: max(r.Version, b.Position.Version), Deleted: true}
+				t.addTombstone(deleted)
+				t.releaseHeld(deleted)
 			}
 		}
 	}
+	t.stored = rows
+	return changed
+}
+
+// publish stores the snapshot with the rows of the copy, and calls onChange if they have
+// changed. The caller holds t.mu.
+func (t *Table) publish(next *Snapshot, changed bool) {
+	next.Rows = t.rows()
 	t.snapshot.Store(next)
 	if changed {
 		t.onChange(next)
 	}
-	return changed
 }
 
 // notePeerOutageEnd records the end of an outage as another daemon reported it.
@@ -215,25 +269,37 @@
 	}
 }
 
-// ChangesSince returns the rows that changed after a version, or all rows if not all
-// deletions since then are known.
-func (t *Table) ChangesSince(after int64) Batch {
+// ChangesSince returns the rows that changed after a position, or all rows if not all
+// deletions since then are known or the store has been restored since. A daemon of an
+// earlier version, whose position has UnknownRestorations, gets the rows as this daemon
+// uses them.
+func (t *Table) ChangesSince(after core.CopyPosition) Batch {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	s := t.snapshot.Load()
-	b := Batch{Version: s.Version, Full: after == 0 || after < t.tombstonesDroppedTo, OutageEnd: t.OutageEnd(time.Now())}
-	for _, r := range s.Rows {
-		if b.Full || r.Version > after {
+	rows, earlierVersion := t.stored, after.Restorations == core.UnknownRestorations
+	sameStore := after.Restorations == s.Position.Restorations
+	if earlierVersion {
+		rows, sameStore = s.Rows, s.Position.Prior == core.StoreRevision{}
+	}
+	b := Batch{Position: s.Position, Full: !sameStore || after.Version == 0 || after.Version < t.tombstonesDroppedTo, OutageEnd: t.OutageEnd(time.Now())}
+	for _, r := range rows {
+		if b.Full || r.Version > after.Version {
 			b.Rows = append(b.Rows, r)
 		}
 	}
 	if !b.Full {
 		for _, r := range t.tombstones {
 			// A row that was written again after its deletion is in the batch already.
-			if _, exists := s.Rows[r.Key]; r.Version > after && !exists {
+			if _, exists := rows[r.Key]; r.Version > after.Version && !exists {
 				b.Rows = append(b.Rows, r)
 			}
 		}
 	}
+	if !earlierVersion && (b.Full || after.Prior.Compare(s.Position.Prior) < 0) {
+		for _, h := range t.held {
+			b.Held = append(b.Held, h.Row)
+		}
+	}
 	return b
 }
--- a/internal/app/mirror/mirror_test.go
+++ b/internal/app/mirror/mirror_test.go
@@ -19,6 +19,11 @@
 	return Row{Key: key, Value: []byte(fmt.Sprint(key, version)), Version: version}
 }
 
+// at returns the position of a copy at a version of a store that was never restored.
+func at(version int64) core.CopyPosition {
+	return core.CopyPosition{StoreRevision: core.StoreRevision{Version: version}}
+}
+
 // rowVersions returns the keys of the rows with their versions, as in "a5 b6 ".
 func rowVersions(s *Snapshot) string {
 	list := ""
@@ -34,19 +39,19 @@
 // outdated replica of the store or from a peer that lags behind.
 func TestACopyNeverGoesBack(t *testing.T) {
 	table := NewTable("t", nil)
-	table.Apply(Batch{Rows: []Row{row("a", 5), row("b", 6)}, Version: 6, Full: true})
+	table.Apply(Batch{Rows: []Row{row("a", 5), row("b", 6)}, Position: at(6), Full: true})
 	for _, b := range []Batch{
-		{Rows: []Row{row("a", 3)}, Version: 3, Full: true},
-		{Rows: []Row{{Key: "a", Version: 5, Deleted: true}}, Version: 5},
-		{Rows: []Row{row("a", 4), row("b", 6)}, Version: 6, Full: true},
+		{Rows: []Row{row("a", 3)}, Position: at(3), Full: true},
+		{Rows: []Row{{Key: "a", Version: 5, Deleted: true}}, Position: at(5)},
+		{Rows: []Row{row("a", 4), row("b", 6)}, Position: at(6), Full: true},
 	} {
 		table.Apply(b)
 		if got := rowVersions(table.Snapshot()); got != "a5 b6 " {
-			t.Errorf("copy %s after a batch of version %d", got, b.Version)
+			t.Errorf("copy %s after a batch of version %d", got, b.Position.Version)
 		}
 	}
 	// A newer batch that has an older value of a row does not replace it.
-	table.Apply(Batch{Rows: []Row{row("a", 2), row("b", 6)}, Version: 9, Full: true})
+	table.Apply(Batch{Rows: []Row{row("a", 2), row("b", 6)}, Position: at(9), Full: true})
 	if got := rowVersions(table.Snapshot()); got != "a5 b6 " {
 		t.Errorf("copy %s after a full read with an older row", got)
 	}
@@ -56,14 +61,14 @@
 // in the copies of peers.
 func TestAFullReadRemovesRows(t *testing.T) {
 	table := NewTable("t", nil)
-	table.Apply(Batch{Rows: []Row{row("a", 1), row("b", 2)}, Version: 2, Full: true})
-	table.Apply(Batch{Rows: []Row{row("b", 2)}, Version: 7, Full: true})
+	table.Apply(Batch{Rows: []Row{row("a", 1), row("b", 2)}, Position: at(2), Full: true})
+	table.Apply(Batch{Rows: []Row{row("b", 2)}, Position: at(7), Full: true})
 	if got := rowVersions(table.Snapshot()); got != "b2 " {
 		t.Errorf("copy %s", got)
 	}
 	peer := NewTable("t", nil)
-	peer.Apply(Batch{Rows: []Row{row("a", 1), row("b", 2)}, Version: 2, Full: true})
-	peer.Apply(table.ChangesSince(2))
+	peer.Apply(Batch{Rows: []Row{row("a", 1), row("b", 2)}, Position: at(2), Full: true})
+	peer.Apply(table.ChangesSince(at(2)))
 	if got := rowVersions(peer.Snapshot()); got != "b2 " {
 		t.Errorf("peer %s", got)
 	}
@@ -80,9 +85,9 @@
 			key := rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "key")
 			r := row(key, version)
 			r.Deleted = rapid.IntRange(0, 3).Draw(t, "delete") == 0
-			table.Apply(Batch{Rows: []Row{r}, Version: version})
+			table.Apply(Batch{Rows: []Row{r}, Position: at(version)})
 			if rapid.IntRange(0, 5).Draw(t, "pull") == 0 {
-				peer.Apply(table.ChangesSince(peer.Snapshot().Version))
+				peer.Apply(table.ChangesSince(peer.Snapshot().Position))
 				if a, b := rowVersions(table.Snapshot()), rowVersions(peer.Snapshot()); a != b {
 					t.Fatalf("copy %q, copy of the copy %q", a, b)
 				}
@@ -110,10 +115,10 @@
 		return Batch{}, errors.New("down")
 	}
 	s.lost = false
-	return Batch{Rows: s.rows, Version: s.version}, nil
+	return Batch{Rows: s.rows, Position: at(s.version)}, nil
 }
 
-func (s *store) Changes(ctx context.Context, _ string, after int64, wait time.Duration) (Batch, error) {
+func (s *store) Changes(ctx context.Context, _ string, after core.StoreRevision, wait time.Duration) (Batch, error) {
 	s.mu.Lock()
 	s.calls++
 	down, lost, version, rows := s.down, s.lost, s.version, s.rows
@@ -123,11 +128,11 @@
 		return Batch{}, errors.New("down")
 	case lost:
 		return Batch{}, ErrHistoryLost
-	case version <= after:
+	case version <= after.Version:
 		sleep(ctx, wait)
-		return Batch{Version: version}, nil
+		return Batch{Position: at(version)}, nil
 	}
-	return Batch{Rows: rows, Version: version}, nil
+	return Batch{Rows: rows, Position: at(version)}, nil
 }
 
 func (s *store) put(r Row) {
@@ -139,23 +144,24 @@
 // peers is a fake of one other daemon, whose copy is table.
 type peers struct{ table atomic.Pointer[Table] }
 
-func (p *peers) NewestVersion(string) int64 {
+func (p *peers) Newest(string) core.CopyPosition {
 	if t := p.table.Load(); t != nil {
 		return t.Snapshot().LastChange
 	}
-	return 0
+	return core.CopyPosition{}
 }
 
-func (p *peers) Pull(_ context.Context, _ string, after int64) (Batch, error) {
+func (p *peers) Pull(_ context.Context, _ string, after core.CopyPosition) (Batch, error) {
 	return p.table.Load().ChangesSince(after), nil
 }
 
 type events struct{ lost, regained atomic.Int32 }
 
-func (e *events) StoreLost(string, error)                                      { e.lost.Add(1) }
-func (e *events) StoreRestored(string, core.StoreRevision, core.StoreRevision) {}
-func (e *events) AnswerIgnored(string, core.StoreRevision, core.StoreRevision) {}
-func (e *events) StoreRegained(string, time.Duration)                          { e.regained.Add(1) }
+func (e *events) StoreLost(string, error)                                           { e.lost.Add(1) }
+func (e *events) StoreRestored(string, core.StoreRevision, core.StoreRevision, int) {}
+func (e *events) RestoredRowsWritten(string, time.Duration)                         {}
+func (e *events) AnswerIgnored(string, core.StoreRevision, core.StoreRevision)      {}
+func (e *events) StoreRegained(string, time.Duration)                               { e.regained.Add(1) }
 
 // follow runs f while a Follower keeps table up to date.
 func follow(t *testing.T, f func(*store, *peers, *Table, *events)) {
@@ -205,7 +211,7 @@
 		s.mu.Unlock()
 		time.Sleep(3 * time.Second)
 		newer := NewTable("t", nil)
-		newer.Apply(Batch{Rows: []Row{row("a", 1), row("b", 9)}, Version: 9, Full: true})
+		newer.Apply(Batch{Rows: []Row{row("a", 1), row("b", 9)}, Position: at(9), Full: true})
 		p.table.Store(newer)
 		time.Sleep(500 * time.Millisecond)
 		if got := rowVersions(table.Snapshot()); got != "a1 b9 " {
@@ -259,9 +265,9 @@
 		s.mu.Unlock()
 		for v := int64(2); v < 12; v++ {
 			// The fake store never answers before the end of the wait.
-			reader.Apply(Batch{Rows: []Row{row("a", v)}, Version: v, Full: true})
+			reader.Apply(Batch{Rows: []Row{row("a", v)}, Position: at(v), Full: true})
 			time.Sleep(1200 * time.Millisecond)
-			if got := table.Snapshot().Version; got != v {
+			if got := table.Snapshot().Position.Version; got != v {
 				t.Errorf("version %d 1.2 s after the change, want %d", got, v)
 			}
 		}
@@ -308,14 +314,14 @@
 		before := s.calls
 		s.mu.Unlock()
 		for v := int64(2); v < 6; v++ {
-			reader.Apply(Batch{Rows: []Row{row("a", v)}, Version: v, Full: true})
+			reader.Apply(Batch{Rows: []Row{row("a", v)}, Position: at(v), Full: true})
 			time.Sleep(300 * time.Millisecond)
-			if got := table.Snapshot().Version; got != v {
+			if got := table.Snapshot().Position.Version; got != v {
 				t.Errorf("version %d 0.3 s after the change, want %d", got, v)
 			}
 			// A batch without rows, as when other tables changed, must not delay the
 			// next change.
-			reader.Apply(Batch{Version: v})
+			reader.Apply(Batch{Position: at(v)})
 			time.Sleep(time.Second)
 		}
 		s.mu.Lock()
@@ -341,18 +347,18 @@
 		ctx, cancel := context.WithCancel(t.Context())
 		p, table, reader := &peers{}, NewTable("t", nil), NewTable("t", nil)
 		p.table.Store(reader)
-		reader.Apply(Batch{Rows: []Row{row("a", 1), row("b", 2)}, Version: 2, Full: true})
-		table.Apply(reader.ChangesSince(0))
+		reader.Apply(Batch{Rows: []Row{row("a", 1), row("b", 2)}, Position: at(2), Full: true})
+		table.Apply(reader.ChangesSince(core.CopyPosition{}))
 		go (&Follower{Table: table, Store: &store{down: true}, Peers: p, Events: &events{}, Wait: time.Second, FollowPeers: true,
 			ReadsStore: func() bool { return false }}).Run(ctx)
-		reader.Apply(Batch{Rows: []Row{{Key: "a", Version: 3, Deleted: true}}, Version: 3})
+		reader.Apply(Batch{Rows: []Row{{Key: "a", Version: 3, Deleted: true}}, Position: at(3)})
 		time.Sleep(time.Second)
 		if end := table.OutageEnd(time.Now()); rowVersions(table.Snapshot()) != "b2 " || !end.IsZero() {
 			t.Errorf("copy %s, an outage that ended at %v", rowVersions(table.Snapshot()), end)
 		}
 		reader.recoveredAt.Store(time.Now())
 		recovered := time.Now()
-		reader.Apply(Batch{Rows: []Row{{Key: "b", Version: 4, Deleted: true}}, Version: 4})
+		reader.Apply(Batch{Rows: []Row{{Key: "b", Version: 4, Deleted: true}}, Position: at(4)})
 		time.Sleep(time.Second)
 		if end := table.OutageEnd(time.Now()); rowVersions(table.Snapshot()) != "" || !end.Equal(recovered) {
 			t.Errorf("copy %s, an outage that ended at %v, want %v", rowVersions(table.Snapshot()), end, recovered)
@@ -415,7 +421,7 @@
 	pulls      atomic.Int32
 }
 
-func (p *silentPeer) Pull(ctx context.Context, table string, after int64) (Batch, error) {
+func (p *silentPeer) Pull(ctx context.Context, table string, after core.CopyPosition) (Batch, error) {
 	if p.pulls.Add(1) > p.unanswered {
 		return p.peers.Pull(ctx, table, after)
 	}
@@ -436,14 +442,14 @@
 		synctest.Test(t, func(t *testing.T) {
 			ctx, cancel := context.WithCancel(t.Context())
 			p, table, reader := &silentPeer{unanswered: c.unanswered}, NewTable("t", nil), NewTable("t", nil)
-			table.Apply(Batch{Rows: []Row{row("a", 1)}, Version: 1, Full: true})
-			reader.Apply(Batch{Rows: []Row{row("a", 2)}, Version: 2, Full: true})
+			table.Apply(Batch{Rows: []Row{row("a", 1)}, Position: at(1), Full: true})
+			reader.Apply(Batch{Rows: []Row{row("a", 2)}, Position: at(2), Full: true})
 			p.table.Store(reader)
 			e := &events{}
 			go (&Follower{Table: table, Store: c.store, Peers: p, Events: e, Wait: time.Second, FollowPeers: true,
 				ReadsStore: func() bool { return false }}).Run(ctx)
 			time.Sleep(time.Second)
-			if got := table.Snapshot().Version; got != 2 || e.lost.Load() != 0 {
+			if got := table.Snapshot().Position.Version; got != 2 || e.lost.Load() != 0 {
 				t.Errorf("%s: version %d a second after the change, %d lost events", name, got, e.lost.Load())
 			}
 			cancel()
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -92,7 +92,7 @@
 	d.store = platform.NewStore(s.Store)
 	d.rpc = fleetrpc.NewClient(time.Now)
 	self := fleet.Member{ID: core.InstanceID(s.Instance), Address: s.Listen.AdvertisePeers, DataCenter: core.DataCenterID(s.DataCenter),
-		Millicores: int(1000 * s.CPUShare * float64(s.Cores)), GrantsPermits: true}
+		Millicores: int(1000 * s.CPUShare * float64(s.Cores)), GrantsPermits: true, CountsRestorations: true}
 	d.fleet = fleet.New(fleet.Options{Self: self, Transport: d.rpc, Source: d.status, Events: d.telemetry, OnStatus: d.learnFromStatus, Now: time.Now})
 	d.budgets = newRequestBudgets(repeats.Limits{Ratio: s.Repeats.Ratio, FixedAllowance: s.Repeats.FixedAllowance, Window: seconds(s.Repeats.WindowS)}, d.repeatingDaemons, d.startedAt)
 	d.fleetSize.size = repeats.NewFleetSize(d.budgets.limits.Window)
@@ -108,6 +108,8 @@
 	d.configTable = mirror.NewTable(platform.OperatorTable, d.configTableChanged)
 	d.endpointTable = mirror.NewTable(platform.EndpointTable, d.endpointTableChanged)
 	d.daemonTable = mirror.NewTable(daemonTableName, d.daemonTableChanged)
+	d.configTable.SetRestorePolicy(mirror.RestorePolicy{Newer: platform.NewerConfiguration, Permanent: true})
+	d.endpointTable.SetRestorePolicy(mirror.RestorePolicy{Newer: platform.NewerEntry, HoldFor: d.entryLapse() + restoredEntryMargin})
 	var seeds []fleet.Member
 	for _, a := range s.Peers {
 		seeds = append(seeds, fleet.Member{Address: a})
@@ -120,7 +122,7 @@
 
 // status implements fleet.Source.
 func (d *Daemon) status() *fleet.Status {
-	s := &fleet.Status{Tables: map[string]int64{}, Loads: d.forward.Loads(), Suspects: d.forward.Suspects()}
+	s := &fleet.Status{Tables: map[string]core.CopyPosition{}, Loads: d.forward.Loads(), Suspects: d.forward.Suspects()}
 	s.Parts, s.RecentParts = d.forward.PartReports()
 	s.Limits, s.RecentLimits = d.limits.Reported()
 	_, s.Daemons = d.observeFleetSize()
@@ -178,14 +180,14 @@
 		return
 	}
 	if err != nil {
-		d.telemetry.ConfigChanged(0, s.Version, err)
+		d.telemetry.ConfigChanged(0, s.Position.StoreRevision, err)
 		return
 	}
 	if old := d.catalog.Load(); old != nil && c.Version <= old.Version {
 		return
 	}
 	d.catalog.Store(c)
-	d.telemetry.ConfigChanged(c.Version, s.Version, nil)
+	d.telemetry.ConfigChanged(c.Version, s.Position.StoreRevision, nil)
 	d.assignStageEndpoints()
 }
 
@@ -196,7 +198,7 @@
 }
 
 func (d *Daemon) endpointViewChanged(v *endpoints.View, changes []endpoints.Change) {
-	d.telemetry.EndpointsChanged(changes, d.endpointTable.Snapshot().Version)
+	d.telemetry.EndpointsChanged(changes, d.endpointTable.Snapshot().Position.StoreRevision)
 	d.forward.SetEndpoints(v)
 	d.assignStageEndpoints()
 }
--- a/internal/edge/shared.go
+++ b/internal/edge/shared.go
@@ -107,11 +107,13 @@
 
 var _ mirror.Peers = (*peerTables)(nil)
 
-// NewestVersion implements mirror.Peers.
-func (p *peerTables) NewestVersion(table string) int64 { return p.fleet.View().Newest[table].Version }
+// Newest implements mirror.Peers.
+func (p *peerTables) Newest(table string) core.CopyPosition {
+	return p.fleet.View().Newest[table].Position
+}
 
 // Pull implements mirror.Peers.
-func (p *peerTables) Pull(ctx context.Context, table string, after int64) (mirror.Batch, error) {
+func (p *peerTables) Pull(ctx context.Context, table string, after core.CopyPosition) (mirror.Batch, error) {
 	return p.rpc.Pull(ctx, p.fleet.View().Newest[table].Address, table, after)
 }
 
--- a/internal/edge/store.go
+++ b/internal/edge/store.go
@@ -45,6 +45,10 @@
 	// lapseMargin, so that an outage of the store in which entries lapse is noticed.
 	lapseHeartbeats = 3
 	lapseMargin     = 1100 * time.Millisecond
+	// restoredEntryMargin is how much longer than an entry takes to lapse an endpoint that
+	// has left stays out of use although a restored store lists it again. The endpoint
+	// does not write its entry, so that it lapses, and this daemon may hear of that late.
+	restoredEntryMargin = 1500 * time.Millisecond
 )
 
 // followTables starts the followers that keep the copies of the tables up to date.
@@ -65,8 +69,12 @@
 // endpointIdleWait returns how long pollers that are not fast pollers wait for a change
 // of the endpoint list.
 func (d *Daemon) endpointIdleWait() time.Duration {
-	lapse := lapseHeartbeats * time.Duration(d.settings.EndpointHeartbeatMs) * time.Millisecond
-	return min(max(lapse-lapseMargin, endpointPollWait), idlePollWait)
+	return min(max(d.entryLapse()-lapseMargin, endpointPollWait), idlePollWait)
+}
+
+// entryLapse returns the time after which the platform drops the entry of a silent endpoint.
+func (d *Daemon) entryLapse() time.Duration {
+	return lapseHeartbeats * time.Duration(d.settings.EndpointHeartbeatMs) * time.Millisecond
 }
 
 // pollsStore returns a function that says whether this daemon is one of the n daemons
@@ -77,13 +85,20 @@
 }
 
 // ranksWithin says whether this daemon is among the first n in the ranking for polling
-// the store. All daemons that see the same members alive agree on the ranking.
+// the store. All daemons that see the same members alive agree on the ranking. Daemons of
+// earlier versions are passed over: they do not tell restorations of the store apart, so
+// that nothing can be pulled from them.
 func (d *Daemon) ranksWithin(n int) bool {
-	ranked := d.fleet.View().Ranked(daemonTableName, "")
-	for _, m := range ranked[:min(n, len(ranked))] {
+	for _, m := range d.fleet.View().Ranked(daemonTableName, "") {
+		if n == 0 {
+			return false
+		}
 		if string(m.ID) == d.settings.Instance {
 			return true
 		}
+		if m.CountsRestorations {
+			n--
+		}
 	}
 	return false
 }
