Send all rows to daemons that miss deletions a fresh copy does not know

A daemon that was cut off while rows were deleted, and then pulled from a daemon that had started after that, kept the rows for good: among the endpoints, one that had left.

Cause: a copy that begins with a full read knows no earlier deletions, but answered with the changes alone.

Change: it answers with all rows to those that are behind its first read.

TestAFreshCopyDoesNotHideDeletions: the deleted row stayed before.

--- a/internal/app/mirror/mirror.go
+++ b/internal/app/mirror/mirror.go
@@ -202,6 +202,10 @@
 // whether rows changed.
 func (t *Table) applyRows(next *Snapshot, b Batch) bool {
 	changed := b.Full && next.Position.Version == 0
+	if changed {
+		// Deletions before the first full batch are not known.
+		t.tombstonesDroppedTo = b.Position.Version
+	}
 	old := t.stored
 	rows := make(map[string]Row, len(old)+len(b.Rows))
 	if !b.Full {
--- a/internal/app/mirror/mirror_test.go
+++ b/internal/app/mirror/mirror_test.go
@@ -74,6 +74,18 @@
 	}
 }
 
+// Guards against rows that stay in a daemon's copy for good: it was cut off while they
+// were deleted, and pulls from a daemon that started after that and does not know of it.
+func TestAFreshCopyDoesNotHideDeletions(t *testing.T) {
+	behind, fresh := NewTable("t", nil), NewTable("t", nil)
+	behind.Apply(Batch{Rows: []Row{row("a", 1), row("b", 2)}, Position: at(2), Full: true})
+	fresh.Apply(Batch{Rows: []Row{row("b", 2)}, Position: at(5), Full: true})
+	behind.Apply(fresh.ChangesSince(behind.Snapshot().Position))
+	if got := rowVersions(behind.Snapshot()); got != "b2 " {
+		t.Errorf("copy %s", got)
+	}
+}
+
 // Guards against a pull after which a peer's copy differs from the original copy,
 // for any changes between two pulls.
 func TestAPeerCatchesUp(t *testing.T) {
