Use no configuration before it is compared with the other daemons'

A daemon that starts between a restoration of the store and the operator's second writing read an older configuration, and served it until it had heard from another daemon: 404 on a route that had been added, requests with a revoked key.

Cause: a daemon used the first configuration that it got.

Change: it answers 503 until it has joined the others and none has a newer copy of the configuration or the list of endpoints, for 1.5 s at most after its start.

What remains: if no daemon that knows the newest configuration runs any more, nobody can tell.

--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -74,6 +74,10 @@
 	storeFallback                           storeFallback
 	configTable, endpointTable, daemonTable *mirror.Table
 	assignMu                                sync.Mutex
+	// caughtUp is set once this daemon has compared its copies with those of the others.
+	// Before that it uses no configuration.
+	caughtUp atomic.Bool
+	configMu sync.Mutex
 }
 
 // New returns a daemon with the settings in the file at path. Run starts it.
@@ -175,6 +179,11 @@
 }
 
 func (d *Daemon) configTableChanged(s *mirror.Snapshot) {
+	if !d.caughtUp.Load() {
+		return
+	}
+	d.configMu.Lock()
+	defer d.configMu.Unlock()
 	c, err := platform.DecodeCatalog(s)
 	if c == nil && err == nil {
 		return
@@ -290,6 +299,7 @@
 	}
 	go d.fleet.Run(ctx)
 	d.followTables(ctx)
+	go d.catchUp(ctx)
 	go d.register(ctx)
 	go d.expireEndpointGrace(ctx)
 	go d.removeStaleDaemons(ctx)
--- a/internal/edge/store.go
+++ b/internal/edge/store.go
@@ -49,6 +49,10 @@
 	// has left stays out of use although a restored store lists it again. The endpoint
 	// does not write its entry, so that it lapses, and this daemon may hear of that late.
 	restoredEntryMargin = 1500 * time.Millisecond
+	// catchUpTimeout is the longest time after its start for which a daemon waits for the
+	// other daemons' copies, and catchUpInterval how often it compares its own with them.
+	catchUpTimeout  = 1500 * time.Millisecond
+	catchUpInterval = 50 * time.Millisecond
 )
 
 // followTables starts the followers that keep the copies of the tables up to date.
@@ -129,6 +133,36 @@
 	return []*mirror.Table{d.configTable, d.endpointTable, d.daemonTable}
 }
 
+// catchUp lets the daemon use its copy of the configuration once it has the newest one that
+// any daemon has. A store that was restored from a copy gives a daemon that starts an older
+// configuration than the one in force, until the operator has written that again.
+func (d *Daemon) catchUp(ctx context.Context) {
+	for end := d.startedAt.Add(catchUpTimeout); time.Now().Before(end) && !d.hasNewestCopies(); time.Sleep(catchUpInterval) {
+		if ctx.Err() != nil {
+			return
+		}
+	}
+	d.caughtUp.Store(true)
+	d.configTableChanged(d.configTable.Snapshot())
+}
+
+// hasNewestCopies says whether this daemon has joined the others and none of them has a
+// newer copy of the configuration or of the list of endpoints.
+func (d *Daemon) hasNewestCopies() bool {
+	select {
+	case <-d.fleet.Joined():
+	default:
+		return false
+	}
+	newest := d.fleet.View().Newest
+	for _, t := range []*mirror.Table{d.configTable, d.endpointTable} {
+		if p := t.Snapshot().Position; p.Version == 0 || newest[t.Name()].Position.Compare(p) > 0 {
+			return false
+		}
+	}
+	return true
+}
+
 // register adds the daemon to the store's table of daemons and retries until that
 // succeeds or ctx ends.
 func (d *Daemon) register(ctx context.Context) {
