Register again when a restoration took the daemon's entry

A daemon that had registered after the copy was made was missing in the restored list for as long as it ran: daemons that start later do not find it there.

Cause: a daemon wrote its entry once, at its start. The same held for an entry that others removed because the daemon was cut off for 15 minutes.

Change: a daemon looks at its entry each second and writes it again if it is missing since a restoration, spread over 3 s (330 daemons: 110 writes a second of the 400 that the store takes), or has been missing for 30 s.

Not changed: entries of daemons that left between the copy and the restoration come back and stay until they are removed after 15 minutes. Until then more daemons share each allowance, so that repeats and permits are fewer, not more.

--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -300,7 +300,7 @@
 	go d.fleet.Run(ctx)
 	d.followTables(ctx)
 	go d.catchUp(ctx)
-	go d.register(ctx)
+	go d.keepRegistered(ctx)
 	go d.expireEndpointGrace(ctx)
 	go d.removeStaleDaemons(ctx)
 	return d.waitForStop(ctx, callers, abortRequests, failed)
--- /dev/null
+++ b/internal/edge/registration_test.go
@@ -0,0 +1,50 @@
+package edge
+
+import (
+	"testing"
+	"time"
+
+	"eelgrassgrade/internal/app/mirror"
+	"eelgrassgrade/internal/core"
+)
+
+// Guards against an entry of this daemon that stays lost, after a restoration of the store
+// or because others took the daemon for ended, and against writes of an entry that is only
+// missing in a copy that lags behind.
+func TestALostEntryIsWrittenAgain(t *testing.T) {
+	const id, entry = "d0", `{"address":"a:1"}`
+	start := time.Unix(1000, 0)
+	listed := func(restorations, version int64, value string) *mirror.Snapshot {
+		s := &mirror.Snapshot{Rows: map[string]mirror.Row{"d1": {}}, Position: core.CopyPosition{StoreRevision: core.StoreRevision{Restorations: restorations, Version: version}}}
+		if value != "" {
+			s.Rows[id] = mirror.Row{Key: id, Value: []byte(value)}
+		}
+		return s
+	}
+	registered := func() *registration {
+		r := &registration{}
+		r.written(listed(1, 7, ""))
+		return r
+	}
+	for _, c := range []struct {
+		name   string
+		r      *registration
+		after  time.Duration
+		listed *mirror.Snapshot
+		want   bool
+	}{
+		{"never written", &registration{}, 0, listed(0, 0, ""), true},
+		{"listed", registered(), time.Hour, listed(1, 9, entry), false},
+		{"listed after a restoration", registered(), time.Hour, listed(2, 3, entry), false},
+		{"no copy of the table", registered(), time.Hour, listed(0, 0, ""), false},
+		{"missing in a copy that lags behind", registered(), missingEntryDelay - time.Second, listed(1, 6, ""), false},
+		{"missing for long", registered(), missingEntryDelay, listed(1, 9, ""), true},
+		{"missing since a restoration", registered(), 0, listed(2, 3, ""), true},
+		{"another entry since a restoration", registered(), 0, listed(2, 3, `{"address":"b:2"}`), true},
+	} {
+		c.r.isDue(start, c.listed, id, []byte(entry))
+		if got := c.r.isDue(start.Add(c.after), c.listed, id, []byte(entry)); got != c.want {
+			t.Errorf("%s: due %v, want %v", c.name, got, c.want)
+		}
+	}
+}
--- a/internal/edge/store.go
+++ b/internal/edge/store.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"time"
 
 	"eelgrassgrade/internal/app/mirror"
@@ -163,22 +162,6 @@
 	return true
 }
 
-// register adds the daemon to the store's table of daemons and retries until that
-// succeeds or ctx ends.
-func (d *Daemon) register(ctx context.Context) {
-	row, err := json.Marshal(daemonEntry{Address: d.settings.Listen.AdvertisePeers, DataCenter: d.settings.DataCenter})
-	for err == nil && ctx.Err() == nil {
-		call, cancel := context.WithTimeout(ctx, 2*time.Second)
-		err := d.store.Put(call, daemonTableName, d.settings.Instance, row)
-		cancel()
-		if err == nil {
-			return
-		}
-		d.log.Warn().Err(err).Msg("registration_failed")
-		time.Sleep(time.Second)
-	}
-}
-
 // expireEndpointGrace applies the endpoint list again while entries that disappeared
 // during an outage of the store are kept for a grace period, so that they are removed
 // when it ends.
