--- a/internal/adapter/fleetrpc/convert.go
+++ b/internal/adapter/fleetrpc/convert.go
@@ -89,28 +89,24 @@
 	return out
 }
 
-// positionsToPB adds the positions of tables to a status. What they have in common is sent
-// once, since a status is sent several times a second to each peer.
+// positionsToPB adds the positions of tables to a status. All tables mostly have followed
+// the same restorations, which are sent once, since a status is sent several times a second
+// to each peer.
 func positionsToPB(out *fleetpb.Status, tables map[string]core.CopyPosition) {
-	count := map[core.CopyPosition]int{}
-	var common core.CopyPosition
 	out.Tables = make(map[string]int64, len(tables))
+	var common core.CopyPosition
 	for table, p := range tables {
 		out.Tables[table] = p.Version
 		p.Version = 0
-		if count[p]++; count[p] > count[common] {
-			common = p
-		}
-	}
-	out.Restored = restoredToPB(common)
-	for table, p := range tables {
-		if p.Version = 0; p == common {
-			continue
-		}
-		if out.RestoredByTable == nil {
-			out.RestoredByTable = map[string]*fleetpb.Restored{}
+		switch {
+		case out.Restored == nil:
+			common, out.Restored = p, restoredToPB(p)
+		case p != common:
+			if out.RestoredByTable == nil {
+				out.RestoredByTable = map[string]*fleetpb.Restored{}
+			}
+			out.RestoredByTable[table] = restoredToPB(p)
 		}
-		out.RestoredByTable[table] = restoredToPB(p)
 	}
 }
 
