Test which daemons read the store beside earlier versions

The rule that daemons which do not count restorations are passed over when readers of the store are ranked is a function with a test now: TestDaemonsOfEarlierVersionsDoNotReadForOthers. No behaviour is changed.

--- a/internal/edge/registration_test.go
+++ b/internal/edge/registration_test.go
@@ -4,6 +4,7 @@
 	"testing"
 	"time"
 
+	"eelgrassgrade/internal/app/fleet"
 	"eelgrassgrade/internal/app/mirror"
 	"eelgrassgrade/internal/core"
 )
@@ -48,3 +49,17 @@
 		}
 	}
 }
+
+// Guards against a daemon that hears of no change while the fleet is updated: daemons of
+// the earlier version read the store for all, and nothing can be pulled from them.
+func TestDaemonsOfEarlierVersionsDoNotReadForOthers(t *testing.T) {
+	member := func(id core.InstanceID, counts bool) fleet.Member {
+		return fleet.Member{ID: id, CountsRestorations: counts}
+	}
+	ranked := []fleet.Member{member("old1", false), member("old2", false), member("new1", true), member("old3", false), member("new2", true), member("new3", true)}
+	for id, want := range map[core.InstanceID]bool{"new1": true, "new2": true, "new3": false, "missing": false} {
+		if got := isAmongFirst(id, ranked, 2); got != want {
+			t.Errorf("%s reads the store: %v, want %v", id, got, want)
+		}
+	}
+}
--- a/internal/edge/store.go
+++ b/internal/edge/store.go
@@ -4,7 +4,9 @@
 	"context"
 	"time"
 
+	"eelgrassgrade/internal/app/fleet"
 	"eelgrassgrade/internal/app/mirror"
+	"eelgrassgrade/internal/core"
 )
 
 const (
@@ -88,18 +90,22 @@
 }
 
 // ranksWithin says whether this daemon is among the first n in the ranking for polling
-// the store. All daemons that see the same members alive agree on the ranking. Daemons of
-// earlier versions are passed over: they do not tell restorations of the store apart, so
-// that nothing can be pulled from them.
+// the store. All daemons that see the same members alive agree on the ranking.
 func (d *Daemon) ranksWithin(n int) bool {
-	for _, m := range d.fleet.View().Ranked(daemonTableName, "") {
-		if n == 0 {
+	return isAmongFirst(core.InstanceID(d.settings.Instance), d.fleet.View().Ranked(daemonTableName, ""), n)
+}
+
+// isAmongFirst says whether fewer than n members that count restorations of the store are
+// ranked before the daemon. Daemons of earlier versions are passed over, since nothing can
+// be pulled from them.
+func isAmongFirst(id core.InstanceID, ranked []fleet.Member, n int) bool {
+	for _, m := range ranked {
+		switch {
+		case n == 0:
 			return false
-		}
-		if string(m.ID) == d.settings.Instance {
+		case m.ID == id:
 			return true
-		}
-		if m.CountsRestorations {
+		case m.CountsRestorations:
 			n--
 		}
 	}
