review: show that a slow start locks a route out for good

Tried: all daemons are killed and come back while the model replicas take five times as long, for 6.5 s.

--- a/review/standin/names.go
+++ b/review/standin/names.go
@@ -24,6 +24,11 @@
 	TokenCount      string `json:"token_count"`
 	PromptPrefix    string `json:"prompt_prefix"`
 	Tenant          string `json:"tenant"`
+	Pieces          string `json:"pieces"`
+	PieceKey        string `json:"piece_key"`
+	Inputs          string `json:"inputs"`
+	PathStageRun    string `json:"path_stage_run"`
+	PathStageFree   string `json:"path_stage_free"`
 	PathReady       string `json:"path_ready"`
 	PathRowsGet     string `json:"path_rows_get"`
 	PathRowsFeed    string `json:"path_rows_feed"`
--- a/review/standin/replica.go
+++ b/review/standin/replica.go
@@ -30,8 +30,18 @@
 	// Unframed says that streams have neither a length nor chunks: they end with their
 	// channel.
 	Unframed bool
+	// TokensPerMs is the number of prompt tokens that are read in a millisecond, and FirstMs
+	// the rest of the time to the first event. 0 tokens mean that prompts take no time.
+	TokensPerMs float64
+	FirstMs     int
+	// CallMs and PieceMs are the times of a call that runs pieces of a stage.
+	CallMs, PieceMs int
 }
 
+// pathSlow is a path of the stand-in's own: its body is the factor by which all work takes
+// longer from now on.
+const pathSlow = "/standin/slow"
+
 // stride is the number of tokens of an event of a stream.
 const stride = 3
 
@@ -48,13 +58,18 @@
 	arrivals int
 	// changed is closed and replaced when a run begins or ends.
 	changed chan struct{}
+	// slowness is the factor by which work takes longer.
+	slowness float64
+	handles  int
+	// stageMu is held during a call that runs pieces: one runs at a time.
+	stageMu sync.Mutex
 }
 
 type run struct{ priority, arrival int }
 
 // runReplica serves until the process is killed.
 func runReplica(specJSON string) error {
-	p := &replica{changed: make(chan struct{})}
+	p := &replica{changed: make(chan struct{}), slowness: 1}
 	if err := json.Unmarshal([]byte(specJSON), &p.spec); err != nil {
 		return err
 	}
@@ -76,12 +91,23 @@
 
 // ServeHTTP implements http.Handler.
 func (p *replica) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if r.URL.Path == pathSlow {
+		p.setSlowness(r)
+		return
+	}
 	id := r.Header.Get(names.RequestID)
 	if expected := r.Header.Get(names.ExpectInstance); expected != "" && expected != p.spec.ID {
 		w.Header().Set(names.InstanceID, p.spec.ID)
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
+	switch r.URL.Path {
+	case names.PathStageRun:
+		p.runPieces(w, r)
+		return
+	case names.PathStageFree:
+		return
+	}
 	if id == "" {
 		w.Header().Set(names.NotExecuted, "1")
 		w.WriteHeader(http.StatusBadRequest)
@@ -102,7 +128,7 @@
 		return
 	}
 	p.record("ran", id)
-	time.Sleep(time.Duration(p.spec.WorkMs) * time.Millisecond)
+	p.work(r, time.Duration(p.spec.WorkMs)*time.Millisecond)
 	answer := fmt.Sprintf("answer to %s of %d bytes", id, size)
 	w.Header().Set(names.RequestID, id)
 	w.Header().Set(names.Seal, "seal."+id)
@@ -196,6 +222,10 @@
 			return
 		}
 		if n == last+1 {
+			if !p.work(r, p.prefillTime(r)) {
+				p.record("its channel was closed before its first event", id)
+				return
+			}
 			p.record(fmt.Sprintf("ran from event %d", n), id)
 		}
 		if err := out.write(streamEvent(id, n)); err != nil {
@@ -255,6 +285,71 @@
 	}
 }
 
+// setSlowness sets the factor in the body of a request of the case.
+func (p *replica) setSlowness(r *http.Request) {
+	text, _ := io.ReadAll(r.Body)
+	factor, err := strconv.ParseFloat(string(text), 64)
+	if err != nil {
+		return
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.slowness = factor
+}
+
+// work takes d, or longer while the replica is slow. It returns false if the channel of the
+// request was closed.
+func (p *replica) work(r *http.Request, d time.Duration) bool {
+	const step = 10 * time.Millisecond
+	for last := time.Now(); d > 0; {
+		if r.Context().Err() != nil {
+			return false
+		}
+		p.mu.Lock()
+		slowness := p.slowness
+		p.mu.Unlock()
+		time.Sleep(min(step, time.Duration(float64(d)*slowness)))
+		now := time.Now()
+		d -= time.Duration(float64(now.Sub(last)) / slowness)
+		last = now
+	}
+	return true
+}
+
+// prefillTime returns the time from the start of a request to its first event.
+func (p *replica) prefillTime(r *http.Request) time.Duration {
+	if p.spec.TokensPerMs == 0 {
+		return 0
+	}
+	prompt, _, _ := strings.Cut(r.Header.Get(names.TokenCount), ",")
+	tokens, _ := strconv.Atoi(strings.TrimSpace(prompt))
+	return time.Duration((float64(tokens)/p.spec.TokensPerMs + float64(p.spec.FirstMs)) * float64(time.Millisecond))
+}
+
+// runPieces answers a call that runs pieces of a stage.
+func (p *replica) runPieces(w http.ResponseWriter, r *http.Request) {
+	var call struct {
+		Items []struct {
+			ID string `json:"id"`
+		} `json:"items"`
+	}
+	if err := json.NewDecoder(r.Body).Decode(&call); err != nil {
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	p.stageMu.Lock()
+	defer p.stageMu.Unlock()
+	p.work(r, time.Duration(p.spec.CallMs+len(call.Items)*p.spec.PieceMs)*time.Millisecond)
+	items := []map[string]string{}
+	for _, item := range call.Items {
+		p.handles++
+		p.record("made a piece of", item.ID)
+		items = append(items, map[string]string{"handle": fmt.Sprintf("%s/%s%x", p.spec.Address, item.ID, p.handles)})
+	}
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(map[string]any{"items": items})
+}
+
 // exitOnOrphan ends the process when its parent has ended.
 func exitOnOrphan(parent int) {
 	for range time.Tick(500 * time.Millisecond) {
