--- a/review/standin/bed.go
+++ b/review/standin/bed.go
@@ -357,3 +357,16 @@
 	a.body, a.err = string(body), err
 	return a
 }
+
+// linesOf returns what replicas have recorded of a request.
+func (b *bed) linesOf(id string) []string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	var lines []string
+	for _, line := range b.replicaLines {
+		if strings.HasSuffix(line, " "+id) {
+			lines = append(lines, line)
+		}
+	}
+	return lines
+}
--- a/review/standin/replica.go
+++ b/review/standin/replica.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"bytes"
 	"cmp"
 	"encoding/json"
 	"fmt"
@@ -113,7 +114,8 @@
 		w.WriteHeader(http.StatusBadRequest)
 		return
 	}
-	size, err := io.Copy(io.Discard, r.Body)
+	var start bytes.Buffer
+	size, err := io.Copy(io.Discard, io.TeeReader(r.Body, &limitedWriter{&start, len(crashingBody)}))
 	if err != nil {
 		return
 	}
@@ -128,6 +130,10 @@
 		return
 	}
 	p.record("ran", id)
+	if start.String() == crashingBody {
+		p.record("crashes", id)
+		os.Exit(crashStatus)
+	}
 	p.work(r, time.Duration(p.spec.WorkMs)*time.Millisecond)
 	answer := fmt.Sprintf("answer to %s of %d bytes", id, size)
 	w.Header().Set(names.RequestID, id)
@@ -137,6 +143,27 @@
 	p.record("answered", id)
 }
 
+// A request whose body begins with crashingBody ends each replica that begins to run it.
+const (
+	crashingBody = "crash:"
+	crashStatus  = 7
+)
+
+// limitedWriter passes the first bytes on and drops the others.
+type limitedWriter struct {
+	w    io.Writer
+	left int
+}
+
+func (l *limitedWriter) Write(b []byte) (int, error) {
+	n := min(len(b), l.left)
+	l.left -= n
+	if _, err := l.w.Write(b[:n]); err != nil {
+		return 0, err
+	}
+	return len(b), nil
+}
+
 // begin adds a request to those that want to run.
 func (p *replica) begin(r *http.Request) *run {
 	priority, err := strconv.Atoi(r.Header.Get(names.RequestPriority))
