--- a/review/standin/case_memory.go
+++ b/review/standin/case_memory.go
@@ -13,17 +13,19 @@
 func init() { cases["memory"] = runMemory }
 
 const (
-	// normalStreams is the number of streams that are in progress at once, burstStreams that
-	// of a burst of 2.6 times the traffic.
+	// streamTime is the length of a stream, normalStreams the number of streams that are in
+	// progress at once, burstStreams that of a burst of 2.6 times the traffic.
+	streamTime    = 7500 * time.Millisecond
 	normalStreams = 54
 	burstStreams  = 140
 	// streamBody is the size of a request's body in bytes, below max-body-bytes.
 	streamBody = 4_000_000
-	waves      = 4
+	sendFor    = 60 * time.Second
 )
 
-// runMemory sends streams with large bodies to two daemons, in waves. The platform ends a
-// process that exceeds its memory, as DEPLOY.md says, and starts it again.
+// runMemory sends streams with large bodies to two daemons, at an even rate at which a link
+// of the site's machines is a third full. The platform ends a process that exceeds its memory,
+// as DEPLOY.md says, and starts it again.
 func runMemory(b *bed) ([]string, error) {
 	b.writeManifest(1, []any{
 		route("query", "stream", "model-bench", map[string]any{"timeout-ms": 20000, "target-latency-ms": 2000, "gap-target-ms": 250, "priority": 1}),
@@ -55,31 +57,33 @@
 	body := bytes.Repeat([]byte("page of a pattern book "), streamBody/23)
 	lost := 0
 	var mu sync.Mutex
-	for wave := range waves {
-		var clients sync.WaitGroup
-		began := time.Now()
-		for i := range streams {
-			clients.Go(func() {
-				c, err := dial(b.daemons[i%len(b.daemons)].callers)
-				if err != nil {
-					b.record("client %d: %v", i, err)
-					return
-				}
-				defer c.close()
-				r := streamRequest("query", fmt.Sprintf("3e0%02d%03d", wave, i), 30*stride, 20*time.Second)
-				r.body = body
-				a := c.send(r)
-				b.record("query %s: %s", r.id, a)
-				if a.err != nil {
-					mu.Lock()
-					lost++
-					mu.Unlock()
-				}
-			})
+	var clients sync.WaitGroup
+	began := time.Now()
+	for i := 0; ; i++ {
+		sentAt := began.Add(time.Duration(i) * streamTime / time.Duration(streams))
+		if sentAt.Sub(began) >= sendFor {
+			break
 		}
-		clients.Wait()
-		time.Sleep(time.Until(began.Add(14 * time.Second)))
+		time.Sleep(time.Until(sentAt))
+		clients.Go(func() {
+			c, err := dial(b.daemons[i%len(b.daemons)].callers)
+			if err != nil {
+				b.record("client %d: %v", i, err)
+				return
+			}
+			defer c.close()
+			r := streamRequest("query", fmt.Sprintf("3e0%05d", i), 30*stride, 20*time.Second)
+			r.body = body
+			a := c.send(r)
+			b.record("query %s: %s", r.id, a)
+			if a.err != nil {
+				mu.Lock()
+				lost++
+				mu.Unlock()
+			}
+		})
 	}
+	clients.Wait()
 	close(stop)
 	watchers.Wait()
 	b.record("%d requests ended without a complete answer; the daemons' processes ended %v times", lost, ends)
--- a/review/standin/case_silence.go
+++ b/review/standin/case_silence.go
@@ -4,18 +4,19 @@
 	"fmt"
 	"strings"
 	"sync"
+	"syscall"
 	"time"
 )
 
 func init() { cases["silence"] = runSilence }
 
-// runSilence sends resumable streams of the lowest priority to replicas with room for eight
+// runSilence sends resumable streams of the lowest priority to replicas with room for six
 // requests. Waves of urgent streams preempt them in the middle; the replicas go on with them
 // after each wave. Each stream would be complete within 5.5 s of its 6 s.
 func runSilence(b *bed) ([]string, error) {
-	const replicas, slots, streams = 3, 8, 24
+	const replicas, slots, streams = 3, 6, 18
 	service := map[string]any{"name": "model-bench", "health-check": "/health", "max-connections": 620, "protocol": "h1", "tls": false,
-		"engine": map[string]any{"slots": slots, "kv-capacity": 180000, "models": []any{map[string]any{"name": "m"}}}}
+		"engine": map[string]any{"slots": slots, "kv-capacity": 135000, "models": []any{map[string]any{"name": "m"}}}}
 	b.writeManifest(1, []any{
 		route("digest", "stream", "model-bench", map[string]any{"timeout-ms": 6000, "target-latency-ms": 4000, "gap-target-ms": 250, "attempts": 2, "stream-resume": true}),
 		route("motif", "stream", "model-bench", map[string]any{"timeout-ms": 8000, "target-latency-ms": 1200, "gap-target-ms": 250, "priority": 0}),
@@ -32,6 +33,12 @@
 	if err := b.waitReady(); err != nil {
 		return nil, err
 	}
+	go func() {
+		// Planned work: the rule covers requests sent up to config-apply-ms after it.
+		time.Sleep(time.Until(b.phase(-500 * time.Millisecond)))
+		_ = d.cmd.Process.Signal(syscall.SIGHUP)
+		b.record("SIGHUP to %s", d.name)
+	}()
 	var mu sync.Mutex
 	var broken []string
 	var digests, urgents sync.WaitGroup
@@ -55,7 +62,7 @@
 				for e := 1; e <= outputTokens/stride; e++ {
 					want += streamEvent(id, e)
 				}
-				if a.err != nil && a.took < 5500*time.Millisecond || a.err == nil && a.status == 200 && a.body != want {
+				if a.err != nil && a.took < 4200*time.Millisecond || a.err == nil && a.status == 200 && a.body != want {
 					mu.Lock()
 					broken = append(broken, fmt.Sprintf("%s: its channel was closed after %d ms of %d ms with %d of %d events, though its replicas were sound", id,
 						a.took.Milliseconds(), 6000, strings.Count(a.body, "\n\n"), outputTokens/stride))
