forward: close a broken answer before its endpoint is checked

What is seen: while a faulty endpoint breaks off many answers at once, the daemon has three sockets a request (the caller's, the answer's, and the one that checks whether the endpoint has crashed) and comes near its limit of descriptors: 466 of 512 for 180 requests, where 448 are left for callers and endpoints. The endpoint also goes on with work that was given up, for up to the 250 ms of the check.

Cause: recordFailure checks the endpoint before the deferred Close of the answer that it was called for.

Change: recordBrokenAnswer closes the answer first. Closing twice is allowed, and a request that failed without an answer has nothing to close. TestAnAnswerIsClosedBeforeItsEndpointIsChecked: 1 or 2 answers were open at the check on each route before, none now.

--- a/internal/app/forward/answer.go
+++ b/internal/app/forward/answer.go
@@ -44,20 +44,20 @@
 		// The caller has part of a stream, and only a stream can continue it.
 		return &core.Error{Kind: core.Upstream, Step: "resume", Peer: string(e.ID), Ran: core.RanYes, Detail: "the endpoint did not resume the stream: status " + strconv.Itoa(a.Status) + ", content type " + strconv.Quote(a.Header.Get("Content-Type"))}
 	case !a.Genuine:
-		return f.recordFailure(ctx, rs, e, startTime, time.Time{}, &core.Error{Kind: core.Upstream, Step: "answer", Peer: string(e.ID), Detail: "the answer is not marked as the endpoint's answer to this request"})
+		return f.recordBrokenAnswer(ctx, rs, e, a, startTime, time.Time{}, &core.Error{Kind: core.Upstream, Step: "answer", Peer: string(e.ID), Detail: "the answer is not marked as the endpoint's answer to this request"})
 	}
 	body, long, hold, err := f.bufferAnswer(rs, a)
 	defer hold.Release()
 	if err != nil {
-		return f.recordFailure(ctx, rs, e, startTime, time.Time{}, &core.Error{Kind: core.Upstream, Step: "answer", Peer: string(e.ID), Detail: "the endpoint's answer ended early", Err: err})
+		return f.recordBrokenAnswer(ctx, rs, e, a, startTime, time.Time{}, &core.Error{Kind: core.Upstream, Step: "answer", Peer: string(e.ID), Detail: "the endpoint's answer ended early", Err: err})
 	}
 	if !long && f.crashedAtEnd(ctx, rs, a) {
-		return f.recordFailure(ctx, rs, e, startTime, time.Time{}, crashedAtEndError(e.ID, "answer"))
+		return f.recordBrokenAnswer(ctx, rs, e, a, startTime, time.Time{}, crashedAtEndError(e.ID, "answer"))
 	}
 	ok := a.Status < http.StatusInternalServerError
 	if long {
 		if err := f.deliverUnbuffered(ctx, rs, w, a, body); err != nil {
-			return f.recordFailure(ctx, rs, e, startTime, time.Time{}, err)
+			return f.recordBrokenAnswer(ctx, rs, e, a, startTime, time.Time{}, err)
 		}
 	}
 	f.tracker.observe(rs.pool, e.ID, health.Sample{OK: ok, Kind: health.Unary, Elapsed: f.now().Sub(startTime)}, false)
--- a/internal/app/forward/attempt.go
+++ b/internal/app/forward/attempt.go
@@ -219,7 +219,7 @@
 		}
 		s.onSettled = func() { f.parts.RecordSound(rs.parts, firstEventAt) }
 		if err := s.relay(callCtx, a); err != nil {
-			return f.recordFailure(ctx, rs, e, startTime, firstEventAt, err)
+			return f.recordBrokenAnswer(ctx, rs, e, a, startTime, firstEventAt, err)
 		}
 		if !resumed && !firstEventAt.IsZero() {
 			f.latencies.observeStreamDuration(rs.route.Name, f.now().Sub(firstEventAt))
@@ -240,6 +240,15 @@
 	return time.Duration(float64(d) * baseTokens / float64(baseTokens+tokens))
 }
 
+// recordBrokenAnswer is recordFailure for a request whose answer is given up. The answer's
+// connection is closed first: the check of the endpoint opens another one, and the endpoint
+// should not go on meanwhile.
+func (f *Forwarder) recordBrokenAnswer(ctx context.Context, rs *requestState, e core.Endpoint, a *Answer, startTime, firstEventAt time.Time, err *core.Error) error {
+	// The answer is incomplete whatever Close returns.
+	_ = a.Body.Close()
+	return f.recordFailure(ctx, rs, e, startTime, firstEventAt, err)
+}
+
 // recordFailure records a request that failed at an endpoint and returns err. If the
 // endpoint turns out to be down, it is ejected; if it may have run the request before,
 // the request's content becomes a suspect. firstEventAt is the time of the answer's
--- a/internal/app/forward/fake_test.go
+++ b/internal/app/forward/fake_test.go
@@ -70,6 +70,9 @@
 	pauseEnds map[core.InstanceID]time.Time
 	// limits holds the endpoints that name a limit.
 	limits map[core.InstanceID]*fakeLimit
+	// openAnswers counts the answers whose body is not closed, openAtCheck those that were
+	// open when an endpoint was checked.
+	openAnswers, openAtCheck int
 	// unreachable makes endpoints refuse connections. reach, if set, is the result of
 	// each check.
 	unreachable bool
@@ -176,6 +179,9 @@
 }
 
 func (p *fakePlatform) Reachable(context.Context, core.Endpoint) Reachability {
+	p.mu.Lock()
+	p.openAtCheck += p.openAnswers
+	p.mu.Unlock()
 	if p.reach != nil {
 		return *p.reach
 	}
@@ -212,16 +218,35 @@
 	if behavior.endDelay > 0 {
 		body = io.MultiReader(body, &delayedEOF{ctx, behavior.endDelay})
 	}
+	p.mu.Lock()
+	p.openAnswers++
+	p.mu.Unlock()
+	closeOnce := sync.OnceFunc(func() {
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		p.openAnswers--
+	})
 	status := behavior.status
 	if status == 0 {
 		status = http.StatusOK
 	}
 	header := http.Header{"X-From": {string(e.ID)}}
 	maps.Copy(header, behavior.header)
-	return &Answer{Status: status, Header: header, Body: io.NopCloser(body), Length: behavior.length, Framing: behavior.framing, NotStarted: behavior.notStarted,
+	return &Answer{Status: status, Header: header, Body: fakeBody{body, closeOnce}, Length: behavior.length, Framing: behavior.framing, NotStarted: behavior.notStarted,
 		InputsGone: behavior.inputsGone, Genuine: !behavior.forged && !behavior.notStarted}, nil
 }
 
+// fakeBody is the body of an answer.
+type fakeBody struct {
+	io.Reader
+	close func()
+}
+
+func (b fakeBody) Close() error {
+	b.close()
+	return nil
+}
+
 // brokenReader is a body that breaks off after a delay.
 type brokenReader struct{ delay time.Duration }
 
--- a/internal/app/forward/stream_test.go
+++ b/internal/app/forward/stream_test.go
@@ -159,3 +159,19 @@
 		})
 	}
 }
+
+// Guards against an endpoint that goes on with an answer that was given up, and against a
+// second connection beside it, while the endpoint is checked.
+func TestAnAnswerIsClosedBeforeItsEndpointIsChecked(t *testing.T) {
+	for _, route := range []string{"once", "safe", "stream", "resume"} {
+		withFakePlatform(t, 2, func(p *fakePlatform) {
+			p.respond = func(core.Endpoint, *EndpointRequest, int) endpointBehavior {
+				return endpointBehavior{body: "id: 1\ndata: x\n\n", length: -1, breaksOff: true}
+			}
+			p.serve(context.Background(), route, nil)
+			if p.openAtCheck > 0 || p.openAnswers > 0 {
+				t.Errorf("route %s: %d answers were open at checks of their endpoints, %d at the end", route, p.openAtCheck, p.openAnswers)
+			}
+		})
+	}
+}
