forward: count buffered events of streams in the account of memory

What callers would see: one faulty endpoint whose resumable streams send a large event without its end, and hold the connection, ends the process on a small machine. Up to then the collector takes all processor time: requests of other services got 503 (no connection within 350 ms) for 20 s after the faulty streams had ended.

Cause: each stream buffered up to 1 MB of an event outside the account of what requests hold, in a slice that doubles, and searched the whole buffer for an event's end at each read.

Change: eventBuffer holds the event. Above 32 KB it asks the account, as whole answers do, and searches new bytes only. Without room the event is relayed as it arrives, so that sound streams are not cut; a stream that breaks off within such an event is cut, since no other endpoint can go on there. The bound of 1 MB stays.

Ruled out: to fail such a stream, which would cut sound large events beside a faulty endpoint.

--- a/internal/app/forward/attempt.go
+++ b/internal/app/forward/attempt.go
@@ -171,6 +171,8 @@
 		return "may have run and may not run twice", false, false
 	case rs.answerStarted && rs.route.Repeat != catalog.Resumable:
 		return "the answer began", false, false
+	case rs.withinEvent:
+		return "the caller has a part of an event", false, false
 	case possibleRuns >= max(rs.route.Attempts, 1):
 		return "attempts of the route are spent", false, false
 	case f.contents.CrashCount(rs.fingerprint) >= quarantine.ContentCrashes:
--- /dev/null
+++ b/internal/app/forward/event_buffer.go
@@ -0,0 +1,109 @@
+package forward
+
+import (
+	"eelgrassgrade/internal/app/holding"
+	"eelgrassgrade/internal/decide/clients"
+)
+
+const (
+	// maxEventBytes bounds the size of one event of a stream that may be resumed.
+	maxEventBytes = 1 << 20
+	// freeEventBytes is the size up to which an event's memory is not counted by itself.
+	freeEventBytes = 2 * readBufferSize
+	// separatorOverlap is the longest part of the end of an event that can arrive before
+	// the rest of it.
+	separatorOverlap = len("\r\n\r\n") - 1
+)
+
+// eventBuffer holds the part of an event that has arrived, so that only whole events are
+// relayed. If the account has no memory for more, the event is relayed as it arrives.
+type eventBuffer struct {
+	memory *holding.Memory
+	// ask says for whom memory is taken, hold is what was taken.
+	ask  clients.Ask
+	hold *holding.Hold
+	// data holds the last sent bytes that were relayed and then those that were not.
+	data []byte
+	sent int
+	// relayed is the part of data that the last call of add returned, counted from the
+	// beginning.
+	relayed int
+	// passing is true while an event is relayed as it arrives.
+	passing bool
+	// eventBytes is the size of the present event so far.
+	eventBytes int
+}
+
+// add adds at most readBufferSize bytes of the stream. It returns the bytes to relay, which
+// are valid until the next call, and false if the event is larger than maxEventBytes.
+func (b *eventBuffer) add(data []byte) (relay []byte, ok bool) {
+	b.dropRelayed()
+	searchFrom := max(len(b.data)-separatorOverlap, 0)
+	b.data = append(b.data, data...)
+	b.eventBytes += len(data)
+	end := endOfLastEvent(b.data[searchFrom:])
+	switch {
+	case end > 0:
+		b.passing = false
+		b.relayed = searchFrom + end
+		b.eventBytes = len(b.data) - b.relayed
+	case b.passing || !b.reserve():
+		b.passing = true
+		b.relayed = len(b.data)
+	default:
+		return nil, b.eventBytes <= maxEventBytes
+	}
+	return b.data[b.sent:b.relayed], b.eventBytes <= maxEventBytes
+}
+
+// withinEvent reports whether the beginning of an event was relayed without its end.
+func (b *eventBuffer) withinEvent() bool { return b.passing }
+
+// dropRelayed removes the bytes that the last call of add returned. Of an event that is
+// relayed as it arrives, enough is kept to find its end.
+func (b *eventBuffer) dropRelayed() {
+	if b.relayed == 0 {
+		return
+	}
+	kept := 0
+	if b.passing {
+		kept = min(separatorOverlap, b.relayed)
+	}
+	rest := b.data[b.relayed-kept:]
+	b.sent, b.relayed = kept, 0
+	if b.hold == nil {
+		b.data = b.data[:copy(b.data, rest)]
+		return
+	}
+	b.data = append([]byte(nil), rest...)
+	b.release()
+}
+
+// reserve reports whether there is memory for another read of the present event.
+func (b *eventBuffer) reserve() bool {
+	needed := len(b.data) + readBufferSize
+	if needed <= max(freeEventBytes, cap(b.data)) {
+		return true
+	}
+	size := min(2*needed, maxEventBytes+2*readBufferSize)
+	allowed := false
+	if b.hold == nil {
+		ask := b.ask
+		ask.Bytes = int64(size)
+		var d clients.Decision
+		b.hold, d = b.memory.Take(ask)
+		allowed = d.Allowed
+	} else {
+		allowed = b.hold.Resize(int64(size)).Allowed
+	}
+	if allowed {
+		b.data = append(make([]byte, 0, size), b.data...)
+	}
+	return allowed
+}
+
+// release returns the memory that was taken.
+func (b *eventBuffer) release() {
+	b.hold.Release()
+	b.hold = nil
+}
--- a/internal/app/forward/forward.go
+++ b/internal/app/forward/forward.go
@@ -201,6 +201,9 @@
 	mayHaveRun bool
 	// answerStarted is true if the answer's status and header were sent to the caller.
 	answerStarted bool
+	// withinEvent is true while the caller has the beginning of an event without its end,
+	// so that no other endpoint can go on with the stream.
+	withinEvent bool
 	// contentType is the content type of the answer that was started.
 	contentType string
 	// bodyReleased is true if the request's body is gone, so that no endpoint can get the
--- a/internal/app/forward/stream.go
+++ b/internal/app/forward/stream.go
@@ -9,6 +9,7 @@
 
 	"eelgrassgrade/internal/core"
 	"eelgrassgrade/internal/decide/catalog"
+	"eelgrassgrade/internal/decide/clients"
 )
 
 const (
@@ -28,9 +29,6 @@
 	// instance, is retransmitted after 200 ms.
 	burstEvents = 3
 	burstGap    = 100 * time.Millisecond
-	// maxPartialEventBytes bounds the part of an event that is buffered until the event
-	// is complete.
-	maxPartialEventBytes = 1 << 20
 )
 
 // streamRelay relays the events of a stream to the caller. If the route allows it, the
@@ -70,7 +68,8 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	chunks := readChunks(ctx, a.Body)
-	var partial []byte
+	buffer := eventBuffer{memory: s.forwarder.memory, ask: clients.Ask{Kind: clients.Answer, Rank: s.state.rank, Account: s.state.account}}
+	defer buffer.release()
 	resumed := s.lastEventID != "" || s.state.req.ResumeAfter != ""
 	var ending eventEnding
 	firstSeen := false
@@ -101,13 +100,11 @@
 		}
 		data := c.data
 		if resumable {
-			partial = append(partial, c.data...)
-			n := endOfLastEvent(partial)
-			data = append([]byte(nil), partial[:n]...)
-			partial = append(partial[:0], partial[n:]...)
-			if len(partial) > maxPartialEventBytes {
-				return s.streamError("an event is larger than the buffer for one event", nil)
+			var ok bool
+			if data, ok = buffer.add(c.data); !ok {
+				return s.streamError("an event is larger than the limit for one event", nil)
 			}
+			s.state.withinEvent = buffer.withinEvent()
 		}
 		ending.add(c.data)
 		whole := ending.complete() && (firstSeen || resumed)
