engine: bound endpoints' unfinished answers together

What callers would see, on daemons outside the users' platform: a faulty endpoint that answers calls with a head of up to 10 MB, or with a body or an event that does not end, fills the memory of the daemon, and the requests of other callers end with its process.

Cause: the transport read heads with net/http's default bound of 10 MB, and each body up to 8 MB and event up to 1 MB for itself, so that the sum had no bound.

Change: heads have 64 KB and 256 lines (httplimit); what has begun to arrive of all answers and events together has 128 MB, beside 64 KB for each. An answer that finds no memory fails as an error of its endpoint, with the outcome unknown as after any broken answer; those of up to 64 KB are always read. Memory is returned when the answer is whole or given up.

Ruled out: a smaller bound for each body, which sound answers may need.

--- /dev/null
+++ b/internal/adapter/engine/memory.go
@@ -0,0 +1,94 @@
+package engine
+
+import (
+	"bytes"
+	"io"
+	"time"
+
+	"github.com/juju/errors"
+
+	"eelgrassgrade/internal/app/holding"
+	"eelgrassgrade/internal/core"
+	"eelgrassgrade/internal/decide/clients"
+)
+
+const (
+	// unfinishedAnswersBytes bounds the memory for answers and events of all endpoints that
+	// have begun to arrive, those of up to freeAnswerBytes each not counted.
+	unfinishedAnswersBytes = 128 << 20
+	freeAnswerBytes        = 64 << 10
+)
+
+// errNoMemory is the error of a read for which there is no memory.
+const errNoMemory = errors.ConstError("too many unfinished answers of endpoints are in memory")
+
+// newAnswerMemory returns an account with the given room in bytes.
+func newAnswerMemory(room int64) *holding.Memory {
+	return holding.New(clients.Room{Total: room, Large: room, Small: freeAnswerBytes}, time.Now)
+}
+
+// readAnswer reads a body of up to limit bytes. It returns errNoMemory if a longer answer
+// than freeAnswerBytes finds no memory, and one byte over the limit if it is longer.
+func readAnswer(memory *holding.Memory, body io.Reader, limit int64) ([]byte, error) {
+	var hold *holding.Hold
+	defer func() { hold.Release() }()
+	var buffer bytes.Buffer
+	for size := int64(freeAnswerBytes); ; size *= 2 {
+		size = min(size, limit+1)
+		if _, err := io.CopyN(&buffer, body, size-int64(buffer.Len())); err == io.EOF || err == nil && size > limit {
+			return buffer.Bytes(), nil
+		} else if err != nil {
+			return nil, err
+		}
+		// The buffer's old and new memory exist side by side while it grows.
+		if !take(memory, &hold, 3*size) {
+			return nil, errNoMemory
+		}
+		buffer.Grow(int(size))
+	}
+}
+
+// take changes the memory that is held to n bytes and reports whether there is room.
+func take(memory *holding.Memory, hold **holding.Hold, n int64) bool {
+	if *hold != nil {
+		return (*hold).Resize(n).Allowed
+	}
+	var d clients.Decision
+	*hold, d = memory.Take(clients.Ask{Kind: clients.Answer, Bytes: n})
+	return d.Allowed
+}
+
+// eventBody is the body of a stream. It takes memory for an event of more than
+// freeAnswerBytes and fails with errNoMemory if there is none.
+type eventBody struct {
+	io.Reader
+	memory *holding.Memory
+	hold   *holding.Hold
+	// eventBytes is what was read since the last event.
+	eventBytes int
+}
+
+// Read implements io.Reader.
+func (b *eventBody) Read(p []byte) (int, error) {
+	if b.eventBytes > freeAnswerBytes && b.hold == nil && !take(b.memory, &b.hold, 2*maxEventBytes) {
+		return 0, errNoMemory
+	}
+	n, err := b.Reader.Read(p)
+	b.eventBytes += n
+	return n, err
+}
+
+// endEvent returns the memory of an event that was read.
+func (b *eventBody) endEvent() {
+	b.eventBytes = 0
+	b.hold.Release()
+	b.hold = nil
+}
+
+// readError returns the error of an answer that could not be read to its end.
+func (a *attempt) readError(kind core.Kind, detail string, err error) *core.Error {
+	if errors.Is(err, errNoMemory) {
+		return a.newError(core.Upstream, errNoMemory.Error(), err)
+	}
+	return a.newError(kind, detail, err)
+}
--- a/internal/adapter/engine/transport.go
+++ b/internal/adapter/engine/transport.go
@@ -18,7 +18,9 @@
 	"github.com/tmaxmax/go-sse"
 
 	"eelgrassgrade/internal/app/dispatch"
+	"eelgrassgrade/internal/app/holding"
 	"eelgrassgrade/internal/core"
+	"eelgrassgrade/internal/httplimit"
 )
 
 const (
@@ -42,6 +44,8 @@
 type Transport struct {
 	client *http.Client
 	scheme string
+	// memory is the account of answers that have begun to arrive.
+	memory *holding.Memory
 }
 
 // DialTLS dials a TLS connection to an endpoint.
@@ -53,18 +57,41 @@
 	if dialTLS != nil {
 		scheme = "https"
 	}
-	return &Transport{scheme: scheme, client: &http.Client{
-		Transport: &http.Transport{
-			DialContext:         (&net.Dialer{Timeout: dialTimeout}).DialContext,
-			DialTLSContext:      dialTLS,
-			MaxIdleConnsPerHost: maxIdlePerEndpoint,
-			IdleConnTimeout:     idleConnTimeout,
-			DisableCompression:  true,
-		},
+	transport := &http.Transport{
+		DialContext:            limitHeads((&net.Dialer{Timeout: dialTimeout}).DialContext),
+		MaxIdleConnsPerHost:    maxIdlePerEndpoint,
+		IdleConnTimeout:        idleConnTimeout,
+		DisableCompression:     true,
+		MaxResponseHeaderBytes: httplimit.MaxHeadBytes,
+	}
+	if dialTLS != nil {
+		transport.DialTLSContext = limitHeads(dialTLS)
+	}
+	return &Transport{scheme: scheme, memory: newAnswerMemory(unfinishedAnswersBytes), client: &http.Client{
+		Transport:     headTracer{transport},
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 	}}
 }
 
+// limitHeads returns a dialer of connections on which the heads of responses are bounded.
+func limitHeads(dial DialTLS) DialTLS {
+	return func(ctx context.Context, network, addr string) (net.Conn, error) {
+		conn, err := dial(ctx, network, addr)
+		if err != nil {
+			return nil, err
+		}
+		return httplimit.NewConn(conn), nil
+	}
+}
+
+// headTracer tells connections where the response to each request begins.
+type headTracer struct{ next http.RoundTripper }
+
+// RoundTrip implements http.RoundTripper.
+func (t headTracer) RoundTrip(r *http.Request) (*http.Response, error) {
+	return t.next.RoundTrip(r.WithContext(httplimit.WithTrace(r.Context())))
+}
+
 // attempt tracks whether the request got a connection. Before that, no byte of it
 // can have reached the endpoint.
 type attempt struct {
@@ -168,9 +195,9 @@
 	if limit == 0 {
 		limit = defaultMaxAnswerBytes
 	}
-	body, err := io.ReadAll(io.LimitReader(resp.Body, limit+1))
+	body, err := readAnswer(t.memory, resp.Body, limit)
 	if err != nil {
-		return core.Result{}, a.newError(errorKind(ctx), "the answer was cut", a.classify(ctx, err))
+		return core.Result{}, a.readError(errorKind(ctx), "the answer was cut", a.classify(ctx, err))
 	}
 	if int64(len(body)) > limit {
 		return core.Result{}, a.newError(core.Upstream, "the answer is larger than the limit for this call", nil)
@@ -189,10 +216,13 @@
 	if resp.StatusCode != http.StatusOK {
 		return a.newError(core.Upstream, "the endpoint answered with an error status", &dispatch.StatusError{Status: resp.StatusCode, Call: resp.Header.Get(CallHeader)})
 	}
-	for ev, err := range sse.Read(resp.Body, &sse.ReadConfig{MaxEventSize: maxEventBytes}) {
+	body := &eventBody{Reader: resp.Body, memory: t.memory}
+	defer body.endEvent()
+	for ev, err := range sse.Read(body, &sse.ReadConfig{MaxEventSize: maxEventBytes}) {
 		if err != nil {
-			return a.newError(errorKind(ctx), "the stream was cut", a.classify(ctx, err))
+			return a.readError(errorKind(ctx), "the stream was cut", a.classify(ctx, err))
 		}
+		body.endEvent()
 		if ev.Data == "[DONE]" {
 			return nil
 		}
--- a/internal/app/forward/event_buffer_test.go
+++ b/internal/app/forward/event_buffer_test.go
@@ -72,7 +72,7 @@
 	for _, separator := range []string{"\n\n", "\r\n\r\n"} {
 		long := "data: " + strings.Repeat("x", 3*readBufferSize) + separator
 		stream := "id: 1" + separator + long + "id: 2" + separator
-		for split := len("id: 1" + separator + long) - 8; split < len(stream); split++ {
+		for split := len("id: 1"+separator+long) - 8; split < len(stream); split++ {
 			for _, room := range []int64{0, 1 << 30} {
 				b := eventBuffer{memory: holding.New(clients.Room{Total: room, Large: room, Small: 1}, time.Now), ask: clients.Ask{Kind: clients.Answer}}
 				got := ""
