dispatch: keep a stalled stream unless another endpoint takes it

What callers would see, on daemons outside the users' platform: a sound stream whose engine pauses it for a second, for want of memory, is closed in the middle if its pool cannot resume streams, if the retry budget is spent, or after three attempts. Where the engine is the only one, it is cancelled there and sent to it again.

Change: a stalled stream first asks whether it can be resumed, whether another healthy endpoint has a free slot, and whether the budget has a retry, which is then taken. Otherwise it stays, looks again each 0.5 s, and ends with its deadline. eelgrass_dispatch_stalled_streams_kept_total counts the reasons.

Ruled out: a longer timeout, which would keep streams at engines that hang although others idle.

--- a/internal/app/dispatch/counters.go
+++ b/internal/app/dispatch/counters.go
@@ -63,4 +63,5 @@
 func (c *counters) countEjection(r health.Reason)  { c.counter("ejections", string(r)).Inc() }
 func (c *counters) countDecision(r routing.Reason) { c.decisions[r].Inc() }
 func (c *counters) countNotRetried(reason string)  { c.counter("not_retried", reason).Inc() }
+func (c *counters) countStayed(reason string)      { c.counter("stalled_streams_kept", reason).Inc() }
 func (c *counters) countQuarantineRefusal()        { c.counter("refused", "quarantined").Inc() }
--- a/internal/app/dispatch/dispatcher.go
+++ b/internal/app/dispatch/dispatcher.go
@@ -155,7 +155,8 @@
 		if f == nil {
 			return nil
 		}
-		if !s.prepareResume(f) || !j.awaitRetry(ctx, f) {
+		moves := s.moves.Swap(false)
+		if !s.prepareResume(f) || !moves && !j.awaitRetry(ctx, f) {
 			return j.finish(f.err)
 		}
 	}
--- a/internal/app/dispatch/job.go
+++ b/internal/app/dispatch/job.go
@@ -11,6 +11,7 @@
 	"eelgrassgrade/internal/core"
 	"eelgrassgrade/internal/decide/health"
 	"eelgrassgrade/internal/decide/retry"
+	"eelgrassgrade/internal/decide/routing"
 )
 
 // job is the state of a task over all of its attempts.
@@ -118,19 +119,11 @@
 	if ctx.Err() != nil {
 		return false
 	}
-	p := j.pool
-	expected := p.expectedTime(j.task, j.kind)
-	p.mu.Lock()
-	dec := p.budget.Retry(retry.FailedAttempt{
-		Number: int(j.attempts.Load() - j.hedges.Load()), MaxAttempts: maxAttempts, Repeatable: j.task.Repeatable, NotStarted: f.err.Ran == core.RanNot,
-		Final: f.final, Crash: f.crash, Now: time.Now(), Deadline: j.callDeadline(), Expected: expected, Random: p.rng.Float64(),
-	})
-	p.mu.Unlock()
+	dec := j.spendRetry(f)
 	if !dec.Allowed {
-		p.counts.countNotRetried(string(dec.Reason))
+		j.pool.counts.countNotRetried(string(dec.Reason))
 		return false
 	}
-	p.counts.retries.Inc()
 	pause := time.NewTimer(dec.Wait)
 	defer pause.Stop()
 	select {
@@ -140,3 +133,37 @@
 		return false
 	}
 }
+
+// spendRetry decides whether to make another attempt after a failure, and takes it from the
+// budget if so.
+func (j *job) spendRetry(f *failure) retry.Decision {
+	p := j.pool
+	expected := p.expectedTime(j.task, j.kind)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	dec := p.budget.Retry(retry.FailedAttempt{
+		Number: int(j.attempts.Load() - j.hedges.Load()), MaxAttempts: maxAttempts, Repeatable: j.task.Repeatable, NotStarted: f.err.Ran == core.RanNot,
+		Final: f.final, Crash: f.crash, Now: time.Now(), Deadline: j.callDeadline(), Expected: expected, Random: p.rng.Float64(),
+	})
+	if dec.Allowed {
+		p.counts.retries.Inc()
+	}
+	return dec
+}
+
+// hasFreeEndpoint reports whether a healthy endpoint with a free slot that was not tried
+// can take the job, apart from the one that runs it.
+func (j *job) hasFreeEndpoint() bool {
+	p := j.pool
+	m := p.currentMembers()
+	p.contentTracker.mu.Lock()
+	defer p.contentTracker.mu.Unlock()
+	if suspect, f := j.checkQuarantine(); suspect || f != nil {
+		// A suspect may not be sent on for its silence.
+		return false
+	}
+	others := slices.DeleteFunc(slices.Clone(p.runningOn[j.fingerprint]), j.wasTried)
+	e, reason, blocked := p.choose(j, m, false, others)
+	st := statusOf(e)
+	return e != nil && !blocked && reason != routing.ByOverload && !st.Failing && st.EjectedUntil.IsZero()
+}
--- a/internal/app/dispatch/stream.go
+++ b/internal/app/dispatch/stream.go
@@ -3,16 +3,20 @@
 import (
 	"context"
 	"encoding/json"
+	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/juju/errors"
 
 	"eelgrassgrade/internal/core"
 	"eelgrassgrade/internal/decide/health"
+	"eelgrassgrade/internal/decide/retry"
 )
 
 const (
-	// stallFactor times the pool's p99 is how long a stream may deliver no event.
+	// A stream has stalled if it delivers no event for stallFactor times the pool's p99. It
+	// then goes on at another endpoint if one can take it, see mayMove.
 	stallFactor = 4
 	// minStallSamples is the number of streams from which the p99 is used.
 	minStallSamples = 20
@@ -20,6 +24,9 @@
 	// defaultGapLimit bounds the time between events until the p99 is used.
 	// Engines deliver a token at least every 75 ms.
 	defaultGapLimit = time.Second
+	// stallRecheck is the time after which a stalled stream that stays at its endpoint looks
+	// again for another one.
+	stallRecheck = 500 * time.Millisecond
 )
 
 // stream is the state of one streamed answer over all of its attempts.
@@ -31,7 +38,10 @@
 	// nextToken is the index of the next token to forward.
 	nextToken int
 	// forwarded means that at least one event was forwarded.
-	forwarded bool
+	forwarded atomic.Bool
+	// moves means that the present attempt was cancelled to go on at another endpoint, for
+	// which a retry was taken from the budget.
+	moves atomic.Bool
 	// callerErr is the error that emit returned.
 	callerErr error
 }
@@ -52,7 +62,7 @@
 	first, gap := p.stallLimits()
 	return s.job.attempt(ctx, false, nil, func(ctx context.Context, c core.Call) error {
 		c.Body = s.body
-		w := &stallWatch{firstLimit: first, gapLimit: gap, lastEvent: time.Now(), cancel: cancel}
+		w := &stallWatch{firstLimit: first, gapLimit: gap, lastEvent: time.Now(), mayMove: s.mayMove, cancel: cancel}
 		w.arm(first)
 		defer w.stop()
 		err := p.dispatcher.Transport.Stream(ctx, c, func(ev core.Event) error { return s.forward(ctx, c, w, ev) })
@@ -69,7 +79,7 @@
 // whether the work ran.
 func (s *stream) streamError(c core.Call, err error) error {
 	var status *StatusError
-	if errors.As(err, &status) && !s.forwarded {
+	if errors.As(err, &status) && !s.forwarded.Load() {
 		if err := s.job.pool.checkEcho(c, status.Call, false); err != nil {
 			return err
 		}
@@ -79,7 +89,7 @@
 	if e.Peer == "" {
 		e.Peer = string(c.Endpoint.ID)
 	}
-	if s.forwarded {
+	if s.forwarded.Load() {
 		e.Ran = core.RanYes
 	}
 	return &e
@@ -113,7 +123,7 @@
 		p.counts.countDropped("gap")
 		return &core.Error{Kind: core.Upstream, Step: c.Stage, Peer: string(c.Endpoint.ID), Ran: core.RanUnknown, Detail: "tokens of the stream are missing"}
 	}
-	s.forwarded = true
+	s.forwarded.Store(true)
 	// The time that a slow reader takes must not count against the endpoint.
 	w.pause()
 	err := s.emit(ev)
@@ -131,7 +141,7 @@
 	switch {
 	case s.callerErr != nil:
 		return false
-	case !s.forwarded:
+	case !s.forwarded.Load():
 		return true
 	case !p.config().Resume:
 		f.err.Detail += "; the stream cannot be resumed"
@@ -167,29 +177,82 @@
 	return next
 }
 
-// stallWatch cancels an attempt whose stream delivers no event for too long.
+// mayMove reports whether a stream that has stalled goes on at another endpoint. Silence
+// alone does not end it, since engines that run out of memory pause sound streams: it moves
+// only if it can be resumed, another endpoint is healthy and has a free slot, and the
+// retry budget allows it. The retry is then taken.
+func (s *stream) mayMove() bool {
+	j, p := s.job, s.job.pool
+	var reason retry.Reason
+	switch {
+	case s.forwarded.Load() && !p.config().Resume:
+		reason = retry.NotRepeatable
+	case !j.hasFreeEndpoint():
+		reason = retry.NoEndpoint
+	default:
+		dec := j.spendRetry(&failure{sent: true, err: &core.Error{Ran: core.RanUnknown}})
+		reason = dec.Reason
+	}
+	if reason != retry.Allowed {
+		p.counts.countStayed(string(reason))
+		return false
+	}
+	s.moves.Store(true)
+	return true
+}
+
+// stallWatch cancels an attempt whose stream delivers no event for too long and goes on
+// elsewhere.
 type stallWatch struct {
 	firstLimit, gapLimit, longestGap time.Duration
 	// lastEvent is the time of the last event. It is the start of the attempt
 	// before the first event, and the end of emit after a pause.
 	lastEvent time.Time
 	answering bool
-	timer     *time.Timer
+	mayMove   func() bool
 	cancel    context.CancelCauseFunc
+
+	mu    sync.Mutex // guards the following
+	timer *time.Timer
+	// stallsAt is when the stream stalls; zero while no event is expected.
+	stallsAt time.Time
 }
 
 func (w *stallWatch) arm(d time.Duration) {
 	if d <= 0 {
 		return
 	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.stallsAt = time.Now().Add(d)
 	if w.timer == nil {
-		w.timer = time.AfterFunc(d, func() { w.cancel(errStalled) })
+		w.timer = time.AfterFunc(d, w.expire)
 		return
 	}
 	w.timer.Reset(d)
 }
 
+// expire ends the attempt of a stream that has stalled, or looks again later.
+func (w *stallWatch) expire() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.stallsAt.IsZero() || time.Now().Before(w.stallsAt) {
+		// An event has arrived meanwhile.
+		return
+	}
+	if w.mayMove() {
+		w.stallsAt = time.Time{}
+		w.cancel(errStalled)
+		return
+	}
+	w.stallsAt = time.Now().Add(stallRecheck)
+	w.timer.Reset(stallRecheck)
+}
+
 func (w *stallWatch) stop() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.stallsAt = time.Time{}
 	if w.timer != nil {
 		w.timer.Stop()
 	}
--- a/internal/decide/retry/retry.go
+++ b/internal/decide/retry/retry.go
@@ -85,8 +85,10 @@
 	// NoTime: another attempt would not end before the deadline.
 	NoTime Reason = "deadline"
 	// Final: another attempt would end the same way.
-	Final  Reason = "final"
-	NoData Reason = "no_data"
+	Final Reason = "final"
+	// NoEndpoint: no other endpoint can take the call.
+	NoEndpoint Reason = "no_endpoint"
+	NoData     Reason = "no_data"
 )
 
 // FailedAttempt describes a failed attempt of a call.
--- a/internal/httplimit/conn_test.go
+++ b/internal/httplimit/conn_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"context"
 	"errors"
 	"io"
 	"net"
@@ -68,7 +69,7 @@
 			}
 		}
 	}()
-	transport := &http.Transport{Dial: func(string, string) (net.Conn, error) { return NewConn(client), nil }}
+	transport := &http.Transport{DialContext: func(context.Context, string, string) (net.Conn, error) { return NewConn(client), nil }}
 	for i := range 3 {
 		req, err := http.NewRequest("GET", "http://h/", nil)
 		if err != nil {
