forward: let a stream return to the endpoint that it left

What callers see: a stream whose engine is silent for 1.5 s moves to an endpoint that looked free; that one refuses it (503, not run) or leaves in the same moment, and the caller's connection is cut in the middle of the stream, although its engine was sound. The same if a part of its prompt is quarantined while it is silent.

The stream gives up its endpoint on figures that are some hundred ms old, and the endpoint that it has left counts as tried for good. mayMove did not look at quarantined parts, which the next try refuses.

Change: where no other endpoint takes the stream, or at its last try, it goes back to the endpoint that it has left. Its attempts count as before, and each further send takes a retry from the budget. mayMove asks for quarantined parts first.

TestAStalledStreamMovesOnlyToSomethingBetter: four new rows, all of them cut before ('the other endpoint refuses it', 'all other endpoints refuse it', 'the other endpoint leaves meanwhile', 'a part of the prompt is quarantined'), none now. Ruled out: to ask the next endpoint before the first one is left, since both would run for a moment; two retries at once for the way there and back, which would halve the moves of streams whose engine hangs.

--- a/internal/app/forward/attempt.go
+++ b/internal/app/forward/attempt.go
@@ -83,6 +83,9 @@
 			break
 		}
 		candidates := f.pickOrWait(ctx, rs, tried)
+		if (len(candidates) == 0 || try == maxTries) && s.mayReturn() {
+			candidates = f.pickOrWait(ctx, rs, tried)
+		}
 		if err := f.poolClosedError(rs); len(candidates) == 0 && err != nil && !rs.mayHaveRun {
 			lastErr = err
 		}
@@ -104,6 +107,9 @@
 			s.possibleRuns++
 		}
 		moves := s.moves
+		if moves {
+			s.left = e.ID
+		}
 		s.moves, s.stayReported = false, false
 		if ctx.Err() != nil || !moves && !f.mayRetry(rs, failure, s.possibleRuns) {
 			break
--- a/internal/app/forward/fake_test.go
+++ b/internal/app/forward/fake_test.go
@@ -77,6 +77,8 @@
 	// each check.
 	unreachable bool
 	reach       *Reachability
+	// checked, if set, is called at each check of an endpoint.
+	checked func()
 }
 
 // fakeLimit is the limit of one endpoint, with the permits that are left and the time
@@ -182,6 +184,9 @@
 	p.mu.Lock()
 	p.openAtCheck += p.openAnswers
 	p.mu.Unlock()
+	if p.checked != nil {
+		p.checked()
+	}
 	if p.reach != nil {
 		return *p.reach
 	}
--- a/internal/app/forward/move.go
+++ b/internal/app/forward/move.go
@@ -26,6 +26,8 @@
 	var budget *repeats.Decision
 	switch {
 	case !allowed:
+	case f.hasQuarantinedPart(rs):
+		reason, allowed = "stalled, endpoints crash on a part of its prompt", false
 	case !f.mayStartAgain(rs):
 		reason, allowed = "stalled, too little time to begin again", false
 	case !f.reserveHealthyEndpoint(ctx, rs, s.tried):
@@ -40,6 +42,20 @@
 	return allowed
 }
 
+// mayReturn reports whether a stream goes back to the endpoint that it has left for its
+// silence: that one was sound, and no other endpoint takes the stream after all. The other
+// endpoints then count as tried.
+func (s *streamRelay) mayReturn() bool {
+	if s.left == "" {
+		return false
+	}
+	for _, e := range s.forwarder.view().ByPool[s.state.pool] {
+		s.tried[e.ID] = e.ID != s.left
+	}
+	s.left = ""
+	return true
+}
+
 // mayStartAgain reports whether the time suffices for a request that has begun to be sent
 // to another endpoint, and whether its stages may run again if they have to.
 func (f *Forwarder) mayStartAgain(rs *requestState) bool {
--- a/internal/app/forward/move_test.go
+++ b/internal/app/forward/move_test.go
@@ -7,8 +7,13 @@
 
 	"eelgrassgrade/internal/core"
 	"eelgrassgrade/internal/decide/health"
+	"eelgrassgrade/internal/decide/placement"
+	"eelgrassgrade/internal/decide/quarantine"
 )
 
+// sharedPrompt is a prompt with a part that other requests have too.
+var sharedPrompt = []placement.Part{{ID: "shared", Tokens: 10}, {ID: "own", Tokens: 10}}
+
 // Guards against sound resumable streams that are cut because their engine pauses them, and
 // against stalled ones that stay although another endpoint can go on, or that never end: a
 // stream leaves its endpoint only if it may be sent once more and a healthy endpoint has
@@ -23,6 +28,13 @@
 			}
 		}
 	}
+	quarantinePart := func(p *fakePlatform) {
+		for i := range 3 {
+			time.AfterFunc(time.Duration(2+3*i)*100*time.Millisecond, func() {
+				p.forwarder.parts.RecordCrash(sharedParts("p", sharedPrompt), quarantine.RunOf("gone", int64(i)), time.Now())
+			})
+		}
+	}
 	for _, c := range []struct {
 		name                string
 		endpoints, attempts int
@@ -36,6 +48,8 @@
 		wantCut  bool
 		// wantAsked is the number of permits that are asked for, if it is not zero.
 		wantAsked int
+		// refuse makes all endpoints but the first refuse requests.
+		refuse bool
 	}{
 		{name: "another endpoint takes it", endpoints: 3, attempts: 2, pauses: 1, pause: pause, wantSent: 2, wantEnd: minStallTimeout},
 		{name: "the last attempt", endpoints: 3, attempts: 1, pauses: 1, pause: pause, wantSent: 1, wantEnd: pause},
@@ -73,16 +87,24 @@
 			p.retriesAllowed = false
 			p.limits = map[core.InstanceID]*fakeLimit{"e1": {perSecond: 1, permits: 9}, "e2": {perSecond: 1, permits: 9}}
 		}},
+		{name: "the other endpoint refuses it", endpoints: 2, attempts: 2, pauses: 1, pause: pause, refuse: true, wantSent: 3, wantEnd: minStallTimeout},
+		{name: "all other endpoints refuse it", endpoints: 6, attempts: 2, pauses: 1, pause: pause, refuse: true, wantSent: 4, wantEnd: minStallTimeout},
+		{name: "the other endpoint leaves meanwhile", endpoints: 2, attempts: 2, pauses: 1, pause: pause, wantSent: 2, wantEnd: minStallTimeout, prepare: func(p *fakePlatform) {
+			p.checked = func() { p.view.ByPool["p"] = p.view.ByPool["p"][:1] }
+		}},
+		{name: "a part of the prompt is quarantined", endpoints: 3, attempts: 2, pauses: 1, pause: pause, wantSent: 1, wantEnd: pause, prepare: quarantinePart},
 		{name: "silent for good", endpoints: 1, attempts: 2, pauses: 1, pause: time.Hour, wantSent: 1, wantEnd: limit, wantCut: true},
 	} {
 		withFakePlatform(t, c.endpoints, func(p *fakePlatform) {
 			route := p.snapshot.Match("h", "/resume/1")
 			route.Attempts, route.Timeout = c.attempts, limit
-			p.respond = func(_ core.Endpoint, r *EndpointRequest, n int) endpointBehavior {
+			p.respond = func(e core.Endpoint, r *EndpointRequest, n int) endpointBehavior {
 				if n == 1 && c.prepare != nil {
 					c.prepare(p)
 				}
 				switch {
+				case n > 1 && c.refuse && string(e.ID) != p.sentTo[0]:
+					return endpointBehavior{status: 503, notStarted: true}
 				case n <= c.pauses && r.LastEventID == "":
 					return endpointBehavior{body: first, pause: c.pause, rest: rest}
 				case n <= c.pauses:
@@ -91,7 +113,7 @@
 				return endpointBehavior{body: rest}
 			}
 			began := time.Now()
-			got := p.serve(context.Background(), "resume", func(r *Request) { r.Timeout = limit })
+			got := p.serve(context.Background(), "resume", func(r *Request) { r.Timeout, r.Prompt = limit, sharedPrompt })
 			want := first + rest
 			if c.wantCut {
 				want = first
--- a/internal/app/forward/quarantine.go
+++ b/internal/app/forward/quarantine.go
@@ -85,13 +85,21 @@
 		rs.probe = false
 		return nil
 	}
-	v := f.parts.Check(rs.parts, func(quarantine.Part) bool { return false })
+	v := f.checkParts(rs)
 	if v.Index < 0 {
 		return nil
 	}
 	return f.partRefusal(rs, v)
 }
 
+// hasQuarantinedPart reports whether partsError returns an error for a request that is no
+// probe.
+func (f *Forwarder) hasQuarantinedPart(rs *requestState) bool { return f.checkParts(rs).Index >= 0 }
+
+func (f *Forwarder) checkParts(rs *requestState) quarantine.Verdict {
+	return f.parts.Check(rs.parts, func(quarantine.Part) bool { return false })
+}
+
 // partRefusal returns the error of a request with a quarantined part.
 func (f *Forwarder) partRefusal(rs *requestState, v quarantine.Verdict) *core.Error {
 	f.events.PartRefused(rs.req, rs.pool, rs.req.Prompt[v.Index].ID, v)
--- a/internal/app/forward/stream.go
+++ b/internal/app/forward/stream.go
@@ -52,6 +52,9 @@
 	// moves is set if so, stayReported once it was decided for the present endpoint.
 	mayMove             func(context.Context) bool
 	moves, stayReported bool
+	// left is the endpoint that the stream has left for its silence; empty if there is none
+	// or it got the request again.
+	left core.InstanceID
 }
 
 // chunk is what one read of an answer's body returned.
