stagework: give up an overdue call only if its pieces can be repeated

What callers see: a stage's endpoint is slow or paused for a second or two while the repeat budget is spent, or after the inputs of its pieces were freed. Five times the expected time after the call was sent, the daemon gives it up, and with it every request that waits for its pieces: 503, although most of their time is left and the endpoint goes on.

Change: at the timeout the endpoint counts as failed, as before; the call is cancelled if no piece waits for it alone, or if all that do may be repeated and the budget pays for them, at once. Otherwise it goes on, is looked at each 0.5 s, and ends with the requests' time at the latest.

TestAnOverdueCallIsGivenUpOnlyForAnother: with no repeat left, an endpoint that takes 12 times as long failed its task before and serves it now; with a repeat left it is replaced as before; one that is silent for good ends with the task. Ruled out: a longer timeout, which delays the replacement.

--- a/internal/app/stagework/call.go
+++ b/internal/app/stagework/call.go
@@ -26,13 +26,28 @@
 	untrackedLimit int
 	// slotReleased says that the call no longer keeps the next one from being sent.
 	slotReleased bool
+	// overdue says that the call took longer than callTimeoutFactor times the expected
+	// time, which counts as a failure of its endpoint.
+	overdue bool
 }
 
 // runCall performs a call. If the call takes much longer than expected, its pieces
-// are queued again for other endpoints; the first result of each piece counts.
+// are queued again for other endpoints; the first result of each piece counts. A call that
+// times out is given up only if other calls can produce its pieces.
 func (g *endpointGroup) runCall(c *call) {
-	ctx, cancel := context.WithTimeout(g.coordinator.ctx, callTimeoutFactor*c.expected)
+	ctx, cancel := context.WithCancel(g.coordinator.ctx)
 	defer cancel()
+	timeout := &resettableTimer{}
+	var giveUp func()
+	giveUp = func() {
+		if g.mayGiveUp(c) {
+			cancel()
+			return
+		}
+		timeout.start(overdueRecheck, giveUp)
+	}
+	timeout.start(callTimeoutFactor*c.expected, giveUp)
+	defer timeout.Stop()
 	sendNextTimer := g.afterCallStart(c, max(c.expected-sendAheadTime, 0), g.sendNextEarly)
 	defer sendNextTimer.Stop()
 	fetchedTimer := g.afterCallStart(c, c.fetchTime, g.freeFetchedInputs)
@@ -189,17 +204,60 @@
 	g.schedule()
 }
 
+// mayGiveUp reports whether a call that has timed out is given up: if no piece waits for
+// it alone, or if all that do can be repeated, for which the budget is then charged.
+// Otherwise the call goes on, since a late result is better than none.
+func (g *endpointGroup) mayGiveUp(c *call) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	first := !c.overdue
+	if first {
+		c.overdue = true
+		g.recordFailure(c.endpoint, "a call timed out")
+	}
+	var waiting []*workItem
+	for _, it := range c.items {
+		if !it.finished && !it.queued && !it.task.ended && it.runningCalls == 1 {
+			waiting = append(waiting, it)
+		}
+	}
+	if len(waiting) == 0 {
+		return true
+	}
+	repeatable := !slices.ContainsFunc(waiting, func(it *workItem) bool { return it.task.inputsFreed || it.failures+1 >= maxFailures })
+	var budget *repeats.Decision
+	if repeatable {
+		d := g.coordinator.budget.Take(g.poolID, len(waiting))
+		repeatable, budget = d.Allowed, &d
+	}
+	for _, it := range waiting {
+		it.repeatTaken = repeatable
+		if first || repeatable {
+			g.coordinator.events.PieceRepeated(it.task.Task, "call timed out", repeatable, budget)
+		}
+	}
+	return repeatable
+}
+
+// recordFailure records a failure of an endpoint, which may eject it. The caller holds mu.
+func (g *endpointGroup) recordFailure(e *endpointState, detail string) {
+	if e.recordFailure(g.coordinator.now()) {
+		g.coordinator.events.EndpointHealth(g.poolID, e.entry.ID, true, detail)
+	}
+}
+
 // callFailed ejects the endpoint and retries the pieces of the call. The caller holds
 // mu.
 func (g *endpointGroup) callFailed(c *call, err *core.Error) {
-	now := g.coordinator.now()
-	if c.endpoint.recordFailure(now) {
-		g.coordinator.events.EndpointHealth(g.poolID, c.endpoint.entry.ID, true, err.Detail)
+	if !c.overdue {
+		g.recordFailure(c.endpoint, err.Detail)
 	}
 	for _, it := range c.items {
 		it.runningCalls--
 		it.failures++
-		g.retry(it, err.Step == "connect", "call failed", err)
+		free := err.Step == "connect" || it.repeatTaken
+		it.repeatTaken = false
+		g.retry(it, free, "call failed", err)
 	}
 }
 
--- a/internal/app/stagework/coordinator.go
+++ b/internal/app/stagework/coordinator.go
@@ -33,6 +33,9 @@
 	// callTimeoutFactor times the expected time is the timeout of a call. It is generous,
 	// since the result of a slow endpoint may still be useful.
 	callTimeoutFactor = 5
+	// overdueRecheck is the time after which a call that has timed out and goes on is
+	// looked at again.
+	overdueRecheck = 500 * time.Millisecond
 	// sendAheadTime is how long before the expected end of a call the next one is sent to
 	// the same endpoint, where it waits. This hides the network latency between data
 	// centres.
--- a/internal/app/stagework/coordinator_test.go
+++ b/internal/app/stagework/coordinator_test.go
@@ -411,3 +411,36 @@
 		wg.Wait()
 	})
 }
+
+// Guards against pieces that fail because their call was given up for its time although no
+// other call could produce them: the endpoint was only slow.
+func TestAnOverdueCallIsGivenUpOnlyForAnother(t *testing.T) {
+	for _, c := range []struct {
+		name              string
+		endpoints, budget int
+		slowFactor        float64
+		wantCalls         int
+		wantErr           bool
+	}{
+		{"no repeat left", 2, 0, 12, 1, false},
+		{"a repeat left", 2, 1, 12, 2, false},
+		{"no repeat left, silent for good", 2, 0, 1e6, 1, true},
+	} {
+		withCoordinator(t, c.endpoints, func(sim *simulation, coordinator *Coordinator) {
+			sim.endpoints["m0"].slowFactor = c.slowFactor
+			budget := coordinator.budget.(*fakeBudget)
+			budget.remaining, budget.optional = c.budget, 0
+			ctx, cancel := context.WithTimeout(sim.t.Context(), 8*time.Second)
+			defer cancel()
+			_, err := coordinator.Submit(ctx, 0, newTask("r", 1, 0, time.Second, 8*time.Second))
+			time.Sleep(time.Second)
+			calls, _ := sim.calls()
+			sim.mu.Lock()
+			unfinished := sim.endpoints["m0"].unfinishedCalls
+			sim.mu.Unlock()
+			if (err != nil) != c.wantErr || calls != c.wantCalls || unfinished > 0 {
+				t.Errorf("%s: %v in %d calls, %d unfinished; want %d calls", c.name, err, calls, unfinished, c.wantCalls)
+			}
+		})
+	}
+}
