forward: return to a left endpoint only if that one takes the stream

Found in reading: at its last try a stream went back to the endpoint that it had left even if that one had left the list or granted no permit, and was cut although another candidate was there. The way back also waited for cold endpoints. pickLeft asks for the endpoint first and leaves the set of tried endpoints as it is.

--- a/internal/app/forward/attempt.go
+++ b/internal/app/forward/attempt.go
@@ -83,8 +83,10 @@
 			break
 		}
 		candidates := f.pickOrWait(ctx, rs, tried)
-		if (len(candidates) == 0 || try == maxTries) && s.mayReturn() {
-			candidates = f.pickOrWait(ctx, rs, tried)
+		if len(candidates) == 0 || try == maxTries {
+			if back := f.pickLeft(ctx, s); len(back) > 0 {
+				candidates = back
+			}
 		}
 		if err := f.poolClosedError(rs); len(candidates) == 0 && err != nil && !rs.mayHaveRun {
 			lastErr = err
--- a/internal/app/forward/move.go
+++ b/internal/app/forward/move.go
@@ -6,6 +6,7 @@
 
 	"eelgrassgrade/internal/core"
 	"eelgrassgrade/internal/decide/health"
+	"eelgrassgrade/internal/decide/placement"
 	"eelgrassgrade/internal/decide/repeats"
 )
 
@@ -42,18 +43,18 @@
 	return allowed
 }
 
-// mayReturn reports whether a stream goes back to the endpoint that it has left for its
-// silence: that one was sound, and no other endpoint takes the stream after all. The other
-// endpoints then count as tried.
-func (s *streamRelay) mayReturn() bool {
+// pickLeft returns the endpoint that a stream has left for its silence, if there is one and
+// it takes the stream again: it was sound, and no other endpoint takes the stream after all.
+func (f *Forwarder) pickLeft(ctx context.Context, s *streamRelay) []placement.Candidate {
 	if s.left == "" {
-		return false
+		return nil
 	}
-	for _, e := range s.forwarder.view().ByPool[s.state.pool] {
-		s.tried[e.ID] = e.ID != s.left
+	others := map[core.InstanceID]bool{}
+	for _, e := range f.view().ByPool[s.state.pool] {
+		others[e.ID] = e.ID != s.left
 	}
 	s.left = ""
-	return true
+	return f.pickEndpoint(ctx, s.state, others)
 }
 
 // mayStartAgain reports whether the time suffices for a request that has begun to be sent
