stagework: repeat overdue pieces one by one before their call is given up

Found in reading: a call that had timed out took the repeats of all its pieces from the budget or none, so that one that hangs with 70 pieces kept all of them when the budget had 20. It was also cancelled as soon as its pieces could be repeated, before another endpoint had them, and with no other endpoint at all.

Each piece is now queued again as far as the budget goes and another endpoint accepts calls, and the call is given up once each piece that is still needed runs elsewhere. TestAnOverdueCallIsGivenUpOnlyForAnother has a row for a single endpoint, which made a second call before.

--- a/internal/app/stagework/call.go
+++ b/internal/app/stagework/call.go
@@ -204,9 +204,10 @@
 	g.schedule()
 }
 
-// mayGiveUp reports whether a call that has timed out is given up: if no piece waits for
-// it alone, or if all that do can be repeated, for which the budget is then charged.
-// Otherwise the call goes on, since a late result is better than none.
+// mayGiveUp reports whether a call that has timed out is given up: if all its pieces that
+// are still needed run in other calls. Those that do not are queued for one as far as they
+// can be repeated; until they run there the call goes on, since a late result is better than
+// none.
 func (g *endpointGroup) mayGiveUp(c *call) bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -215,28 +216,47 @@
 		c.overdue = true
 		g.recordFailure(c.endpoint, "a call timed out")
 	}
-	var waiting []*workItem
+	needed, repeatable := false, g.hasOther(c.endpoint)
 	for _, it := range c.items {
-		if !it.finished && !it.queued && !it.task.ended && it.runningCalls == 1 {
-			waiting = append(waiting, it)
+		if it.finished || it.task.ended || it.runningCalls > 1 {
+			continue
+		}
+		needed = true
+		if repeatable && !it.queued {
+			g.repeatOverdue(it, first)
 		}
 	}
-	if len(waiting) == 0 {
-		return true
+	g.schedule()
+	return !needed
+}
+
+// hasOther reports whether another endpoint of the group accepts calls. The caller holds mu.
+func (g *endpointGroup) hasOther(e *endpointState) bool {
+	now := g.coordinator.now()
+	for _, other := range g.endpoints {
+		if other != e && !g.unavailable(other, now) {
+			return true
+		}
 	}
-	repeatable := !slices.ContainsFunc(waiting, func(it *workItem) bool { return it.task.inputsFreed || it.failures+1 >= maxFailures })
+	return false
+}
+
+// repeatOverdue queues a piece of an overdue call again if it can be repeated. report says
+// that a refusal is reported. The caller holds mu.
+func (g *endpointGroup) repeatOverdue(it *workItem, report bool) {
+	allowed := !it.task.inputsFreed && it.failures+1 < maxFailures
 	var budget *repeats.Decision
-	if repeatable {
-		d := g.coordinator.budget.Take(g.poolID, len(waiting))
-		repeatable, budget = d.Allowed, &d
-	}
-	for _, it := range waiting {
-		it.repeatTaken = repeatable
-		if first || repeatable {
-			g.coordinator.events.PieceRepeated(it.task.Task, "call timed out", repeatable, budget)
-		}
+	if allowed {
+		d := g.coordinator.budget.Take(g.poolID, 1)
+		allowed, budget = d.Allowed, &d
+	}
+	if allowed || report {
+		g.coordinator.events.PieceRepeated(it.task.Task, "call timed out", allowed, budget)
+	}
+	if allowed {
+		it.queued = true
+		g.queue = append(g.queue, it)
 	}
-	return repeatable
 }
 
 // recordFailure records a failure of an endpoint, which may eject it. The caller holds mu.
@@ -255,9 +275,7 @@
 	for _, it := range c.items {
 		it.runningCalls--
 		it.failures++
-		free := err.Step == "connect" || it.repeatTaken
-		it.repeatTaken = false
-		g.retry(it, free, "call failed", err)
+		g.retry(it, err.Step == "connect", "call failed", err)
 	}
 }
 
--- a/internal/app/stagework/coordinator_test.go
+++ b/internal/app/stagework/coordinator_test.go
@@ -425,6 +425,7 @@
 		{"no repeat left", 2, 0, 12, 1, false},
 		{"a repeat left", 2, 1, 12, 2, false},
 		{"no repeat left, silent for good", 2, 0, 1e6, 1, true},
+		{"a repeat left, no other endpoint", 1, 1, 12, 1, false},
 	} {
 		withCoordinator(t, c.endpoints, func(sim *simulation, coordinator *Coordinator) {
 			sim.endpoints["m0"].slowFactor = c.slowFactor
--- a/internal/app/stagework/group.go
+++ b/internal/app/stagework/group.go
@@ -36,8 +36,6 @@
 	// runningCalls counts the calls in progress that contain the piece.
 	runningCalls int
 	queued       bool
-	// repeatTaken says that the budget was charged for the next repeat of the piece.
-	repeatTaken bool
 	// finished says that the piece has a result.
 	finished bool
 	// inputsFetched says that a call has fetched the inputs of the piece.
