engine: reserve the announced length of an answer and double the room

Found in reading: a sound answer of 8 MB took up to 12 MB of the 128 MB while it grew, so that eight at once were the most, where no bound was before. An announced length is now reserved once and read into place, and the room is 256 MB: 32 answers of the largest size, without a length some 20. TestAnswersOfEachSizeAreRead reads answers around each bound, with and without a length; TestEndlessAnswersAreBoundedTogether has a row for a body with a length.

--- a/internal/adapter/engine/endless_test.go
+++ b/internal/adapter/engine/endless_test.go
@@ -14,6 +14,26 @@
 	"eelgrassgrade/internal/core"
 )
 
+// Guards against sound answers that are cut, repeated or refused by the bound.
+func TestAnswersOfEachSizeAreRead(t *testing.T) {
+	for _, n := range []int{0, 1, freeAnswerBytes - 1, freeAnswerBytes, freeAnswerBytes + 1, 3 * freeAnswerBytes, defaultMaxAnswerBytes, defaultMaxAnswerBytes + 1} {
+		for _, withLength := range []bool{false, true} {
+			answer := strings.Repeat("0123456789abcdef", n/16+1)[:n]
+			c := serve(t, func(w http.ResponseWriter, _ *http.Request) {
+				if withLength {
+					w.Header().Set("Content-Length", fmt.Sprint(n))
+				}
+				http.NewResponseController(w).Flush()
+				_, _ = io.WriteString(w, answer)
+			})
+			r, err := New(nil).Do(t.Context(), c)
+			if tooLarge := n > defaultMaxAnswerBytes; (err != nil) != tooLarge || !tooLarge && string(r.Body) != answer {
+				t.Errorf("an answer of %d bytes, length announced %v: %d bytes, %v", n, withLength, len(r.Body), err)
+			}
+		}
+	}
+}
+
 // Guards against an endpoint whose endless or unfinished answers to many calls at once fill
 // the daemon's memory, and against answers of other endpoints that fail meanwhile.
 func TestEndlessAnswersAreBoundedTogether(t *testing.T) {
@@ -38,6 +58,7 @@
 		"head of long lines":  {false, "HTTP/1.1 200 OK\r\n" + strings.Repeat("X: "+strings.Repeat("y", 8000)+"\r\n", 1000), 0},
 		"head of short lines": {false, "HTTP/1.1 200 OK\r\n" + shortLines(8000) + "\r\n", 0},
 		"body":                {false, "HTTP/1.1 200 OK\r\n\r\n", 7 << 20},
+		"body with a length":  {false, "HTTP/1.1 200 OK\r\nContent-Length: 8000000\r\n\r\n", 7 << 20},
 		"event":               {true, "HTTP/1.1 200 OK\r\n\r\ndata: ", 1000 << 10},
 	} {
 		transport := New(nil)
--- a/internal/adapter/engine/memory.go
+++ b/internal/adapter/engine/memory.go
@@ -16,7 +16,7 @@
 const (
 	// unfinishedAnswersBytes bounds the memory for answers and events of all endpoints that
 	// have begun to arrive, those of up to freeAnswerBytes each not counted.
-	unfinishedAnswersBytes = 128 << 20
+	unfinishedAnswersBytes = 256 << 20
 	freeAnswerBytes        = 64 << 10
 )
 
@@ -28,11 +28,20 @@
 	return holding.New(clients.Room{Total: room, Large: room, Small: freeAnswerBytes}, time.Now)
 }
 
-// readAnswer reads a body of up to limit bytes. It returns errNoMemory if a longer answer
-// than freeAnswerBytes finds no memory, and one byte over the limit if it is longer.
-func readAnswer(memory *holding.Memory, body io.Reader, limit int64) ([]byte, error) {
+// readAnswer reads a body of up to limit bytes whose length is announced, -1 if it is not. It
+// returns errNoMemory if an answer of more than freeAnswerBytes finds no memory, and more
+// than limit bytes if the body is longer.
+func readAnswer(memory *holding.Memory, body io.Reader, announced, limit int64) ([]byte, error) {
 	var hold *holding.Hold
 	defer func() { hold.Release() }()
+	if announced > freeAnswerBytes && announced <= limit {
+		if !take(memory, &hold, announced) {
+			return nil, errNoMemory
+		}
+		answer := make([]byte, announced)
+		n, err := io.ReadFull(body, answer)
+		return answer[:n], err
+	}
 	var buffer bytes.Buffer
 	for size := int64(freeAnswerBytes); ; size *= 2 {
 		size = min(size, limit+1)
--- a/internal/adapter/engine/transport.go
+++ b/internal/adapter/engine/transport.go
@@ -195,7 +195,7 @@
 	if limit == 0 {
 		limit = defaultMaxAnswerBytes
 	}
-	body, err := readAnswer(t.memory, resp.Body, limit)
+	body, err := readAnswer(t.memory, resp.Body, resp.ContentLength, limit)
 	if err != nil {
 		return core.Result{}, a.readError(errorKind(ctx), "the answer was cut", a.classify(ctx, err))
 	}
