holding: take or resize in one place, and rename the event buffer's fields

The reader of request bodies, the event buffer and the engine's transport each decided by hand whether to take memory or to resize what they hold. Memory.TakeOrResize does it for the three. The event buffer's sent and relayed are overlap and relayEnd, which say what they mark.

--- a/internal/adapter/engine/memory.go
+++ b/internal/adapter/engine/memory.go
@@ -67,11 +67,8 @@
 
 // take changes the memory that is held to n bytes and reports whether there is room.
 func take(memory *holding.Memory, hold **holding.Hold, n int64) bool {
-	if *hold != nil {
-		return (*hold).Resize(n).Allowed
-	}
 	var d clients.Decision
-	*hold, d = memory.Take(clients.Ask{Kind: clients.Answer, Bytes: n})
+	*hold, d = memory.TakeOrResize(*hold, clients.Ask{Kind: clients.Answer, Bytes: n})
 	return d.Allowed
 }
 
--- a/internal/app/forward/event_buffer.go
+++ b/internal/app/forward/event_buffer.go
@@ -19,15 +19,13 @@
 // relayed. If the account has no memory for more, the event is relayed as it arrives.
 type eventBuffer struct {
 	memory *holding.Memory
-	// ask says for whom memory is taken, hold is what was taken.
+	// ask says for whom memory is taken, hold is what was taken; nil if nothing was.
 	ask  clients.Ask
 	hold *holding.Hold
-	// data holds the last sent bytes that were relayed and then those that were not.
-	data []byte
-	sent int
-	// relayed is the part of data that the last call of add returned, counted from the
-	// beginning.
-	relayed int
+	// data begins with overlap bytes that were relayed before and are kept to find the end
+	// of their event. The last call of add has returned the bytes from there to relayEnd.
+	data              []byte
+	overlap, relayEnd int
 	// passing is true while an event is relayed as it arrives.
 	passing bool
 	// eventBytes is the size of the present event so far.
@@ -45,15 +43,15 @@
 	switch {
 	case end > 0:
 		b.passing = false
-		b.relayed = searchFrom + end
-		b.eventBytes = len(b.data) - b.relayed
+		b.relayEnd = searchFrom + end
+		b.eventBytes = len(b.data) - b.relayEnd
 	case b.passing || !b.reserve():
 		b.passing = true
-		b.relayed = len(b.data)
+		b.relayEnd = len(b.data)
 	default:
 		return nil, b.eventBytes <= maxEventBytes
 	}
-	return b.data[b.sent:b.relayed], b.eventBytes <= maxEventBytes
+	return b.data[b.overlap:b.relayEnd], b.eventBytes <= maxEventBytes
 }
 
 // withinEvent reports whether the beginning of an event was relayed without its end.
@@ -62,15 +60,15 @@
 // dropRelayed removes the bytes that the last call of add returned. Of an event that is
 // relayed as it arrives, enough is kept to find its end.
 func (b *eventBuffer) dropRelayed() {
-	if b.relayed == 0 {
+	if b.relayEnd == 0 {
 		return
 	}
-	kept := 0
+	b.overlap = 0
 	if b.passing {
-		kept = min(separatorOverlap, b.relayed)
+		b.overlap = min(separatorOverlap, b.relayEnd)
 	}
-	rest := b.data[b.relayed-kept:]
-	b.sent, b.relayed = kept, 0
+	rest := b.data[b.relayEnd-b.overlap:]
+	b.relayEnd = 0
 	if b.hold == nil {
 		b.data = b.data[:copy(b.data, rest)]
 		return
@@ -86,20 +84,13 @@
 		return true
 	}
 	size := min(2*needed, maxEventBytes+2*readBufferSize)
-	allowed := false
-	if b.hold == nil {
-		ask := b.ask
-		ask.Bytes = int64(size)
-		var d clients.Decision
-		b.hold, d = b.memory.Take(ask)
-		allowed = d.Allowed
-	} else {
-		allowed = b.hold.Resize(int64(size)).Allowed
-	}
-	if allowed {
+	b.ask.Bytes = int64(size)
+	var d clients.Decision
+	b.hold, d = b.memory.TakeOrResize(b.hold, b.ask)
+	if d.Allowed {
 		b.data = append(make([]byte, 0, size), b.data...)
 	}
-	return allowed
+	return d.Allowed
 }
 
 // release returns the memory that was taken.
--- a/internal/app/holding/holding.go
+++ b/internal/app/holding/holding.go
@@ -48,6 +48,15 @@
 	return &Hold{memory: m, since: m.now(), ask: a, users: 1}, clients.Decision{Allowed: true}
 }
 
+// TakeOrResize changes what h holds to a.Bytes, or takes it if h is nil. It returns h, or
+// what was taken, and whether there was room; without room nothing changes.
+func (m *Memory) TakeOrResize(h *Hold, a clients.Ask) (*Hold, clients.Decision) {
+	if h == nil {
+		return m.Take(a)
+	}
+	return h, h.Resize(a.Bytes)
+}
+
 func (m *Memory) take(a clients.Ask) clients.Decision {
 	m.mu.Lock()
 	defer m.mu.Unlock()
