edge: show two ways in which a stop drops requests without an answer

Callers saw a connection closed without an answer around a planned stop.

- net/http counts a connection as idle until a request's head is parsed.
The announcement of a stop closes idle connections and forgets them, so a request that was read in that moment is cancelled, and the end of the process does not wait for it.
- After Shutdown was called, net/http closes a connection as soon as it has read a request's head.
Connections that were accepted before and send their request after that get no answer.

The calls that stop the callers' server move into a type of their own, without a change of what they do.

--- a/internal/edge/sockets.go
+++ b/internal/edge/sockets.go
@@ -42,24 +42,20 @@
 	return s
 }
 
-// wrap returns a listener whose connections are bounded. The peers' listener stays as it
-// is.
+// wrap returns a listener whose connections are bounded, for readiness checks and metrics.
+// The peers' and the callers' listener stay as they are.
 func (s *sockets) wrap(address string, l net.Listener) net.Listener {
-	set := s.control
-	switch address {
-	case s.daemon.settings.Listen.Peers:
+	if address == s.daemon.settings.Listen.Peers || address == s.daemon.settings.Listen.Callers {
 		return l
-	case s.daemon.settings.Listen.Callers:
-		set = s.callers
 	}
-	return &clientListener{Listener: l, set: set}
+	return &clientListener{Listener: l, set: s.control}
 }
 
 // callerServer returns the server for callers. Its requests have the context base.
-func (s *sockets) callerServer(base context.Context) *http.Server {
+func (s *sockets) callerServer(base context.Context) *callerServer {
 	d := s.daemon
 	handler := &platform.CallerHandler{Service: d.forward, Limits: d.callerLimits, Memory: d.memory, Rank: d.forward.Rank, Refused: s.callers.refused, Now: time.Now}
-	return &http.Server{BaseContext: func(net.Listener) context.Context { return base }, Handler: handler, MaxHeaderBytes: maxHeaderBytes, ConnState: connStateHook,
+	server := &http.Server{BaseContext: func(net.Listener) context.Context { return base }, Handler: handler, MaxHeaderBytes: maxHeaderBytes, ConnState: connStateHook,
 		// Otherwise net/http answers OPTIONS * itself, with a success that no endpoint gave.
 		DisableGeneralOptionsHandler: true,
 		ConnContext: func(ctx context.Context, conn net.Conn) context.Context {
@@ -68,6 +64,7 @@
 			}
 			return ctx
 		}}
+	return &callerServer{Server: server, conns: s.callers}
 }
 
 // callerLimits returns the limits of the configuration in force.
