edge: stop the callers' server without net/http's idea of idle

Callers saw connections that a stopping daemon closed without an answer to a request that it had read.

Cause: http.Server.SetKeepAlivesEnabled and Shutdown take a connection for idle until a request's head is parsed, forget the connections that they close, and after Shutdown drop each request that is read. The class: a decision to close that is not made together with the one to read.

Change: the set of callers' connections closes idle ones itself. The read in progress decides: it takes what has arrived, or the connection is closed. The end waits until no connection and no handler is left, and a connection that was accepted shortly before the listener closes may still bring its request. Answers that begin after the announcement say that the connection closes.

--- a/internal/edge/callerserver_test.go
+++ b/internal/edge/callerserver_test.go
@@ -78,14 +78,14 @@
 	hooked := &hookedListener{Listener: l}
 	conns := &clientConns{max: 100, clock: newRunClock(), limits: func() catalog.Limits { return defaultLimits }, times: func() clients.Times { return clients.Times{} },
 		conns: map[*clientConn]struct{}{}, refusals: map[string]int{}}
-	s := &callerServer{conns: conns, Server: &http.Server{ConnState: connStateHook, Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+	s := newCallerServer(&http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		_, _ = io.Copy(io.Discard, r.Body)
 		select {
 		case <-r.Context().Done():
 		case <-time.After(50 * time.Millisecond):
 			w.WriteHeader(http.StatusOK)
 		}
-	})}}
+	})}, conns)
 	go func() { _ = s.Serve(hooked) }()
 	t.Cleanup(func() { s.Close() })
 	return s, hooked, func() *testClient {
--- a/internal/edge/lifecycle.go
+++ b/internal/edge/lifecycle.go
@@ -99,6 +99,8 @@
 		defer cancel()
 		if err := callers.finish(aborted); err != nil {
 			d.log.Warn().Int("in_progress", d.forward.Active()).Err(err).Msg("requests_abandoned")
+			// The connections end with the process whatever this returns.
+			_ = callers.Close()
 		}
 	}
 	d.log.Info().Int64("took_ms", time.Since(began).Milliseconds()).Msg("stopped")
--- a/internal/edge/sockets.go
+++ b/internal/edge/sockets.go
@@ -55,7 +55,7 @@
 func (s *sockets) callerServer(base context.Context) *callerServer {
 	d := s.daemon
 	handler := &platform.CallerHandler{Service: d.forward, Limits: d.callerLimits, Memory: d.memory, Rank: d.forward.Rank, Refused: s.callers.refused, Now: time.Now}
-	server := &http.Server{BaseContext: func(net.Listener) context.Context { return base }, Handler: handler, MaxHeaderBytes: maxHeaderBytes, ConnState: connStateHook,
+	server := &http.Server{BaseContext: func(net.Listener) context.Context { return base }, Handler: handler, MaxHeaderBytes: maxHeaderBytes,
 		// Otherwise net/http answers OPTIONS * itself, with a success that no endpoint gave.
 		DisableGeneralOptionsHandler: true,
 		ConnContext: func(ctx context.Context, conn net.Conn) context.Context {
@@ -64,7 +64,7 @@
 			}
 			return ctx
 		}}
-	return &callerServer{Server: server, conns: s.callers}
+	return newCallerServer(server, s.callers)
 }
 
 // callerLimits returns the limits of the configuration in force.
