graceful: make the stop of the callers' server a package of its own

The stop that loses no request that was read moves from edge to a package that other servers can use, also over TLS: a connection that closes only if no request has arrived, and a server that announces its stop and waits. The tests move with it; no behaviour of the daemon on the platform changes.

--- a/internal/edge/clientconn.go
+++ b/internal/edge/clientconn.go
@@ -6,7 +6,6 @@
 	"net/http"
 	"os"
 	"sync"
-	"syscall"
 	"time"
 
 	"eelgrassgrade/internal/app/holding"
@@ -32,8 +31,7 @@
 	net.Conn
 	set *clientConns
 	// full is true if all other connections were in use when it was accepted.
-	full       bool
-	acceptedAt time.Time
+	full bool
 
 	mu       sync.Mutex
 	state    clients.Connection
@@ -43,22 +41,11 @@
 	// read is refused, any other connection is closed.
 	overdue bool
 	closed  bool
-	// closing is set on an idle connection that the server closes unless a request has
-	// arrived. A request that is read unsets it.
-	closing bool
-	// answered is set once a request on the connection was answered.
-	answered bool
 }
 
 // Read implements net.Conn.
 func (c *clientConn) Read(b []byte) (int, error) {
-	n, err := 0, error(nil)
-	if !c.isClosing() {
-		n, err = c.Conn.Read(b)
-	}
-	if n == 0 && c.isClosing() {
-		n, err = c.readArrived(b)
-	}
+	n, err := c.Conn.Read(b)
 	if n == 0 {
 		return n, err
 	}
@@ -75,52 +62,6 @@
 	return n, err
 }
 
-// closeIdle makes the server close the connection if no request has arrived on it. A read
-// in progress decides that, so that no request is lost that it has read.
-func (c *clientConn) closeIdle() {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if c.closed || c.closing || c.state.Phase != clients.Idle {
-		return
-	}
-	c.closing = true
-	// On a connection that is broken the read ends as well.
-	_ = c.Conn.SetReadDeadline(time.Unix(1, 0))
-}
-
-func (c *clientConn) isClosing() bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.closing
-}
-
-// used says whether a request on the connection was answered.
-func (c *clientConn) used() bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.answered
-}
-
-// readArrived reads what has arrived without waiting for more. The server closes the
-// connection without a response if that is nothing.
-func (c *clientConn) readArrived(b []byte) (int, error) {
-	conn, ok := c.Conn.(syscall.Conn)
-	if !ok {
-		return 0, os.ErrDeadlineExceeded
-	}
-	raw, err := conn.SyscallConn()
-	if err != nil {
-		return 0, err
-	}
-	n := 0
-	// The descriptor is in non-blocking mode.
-	err = raw.Control(func(fd uintptr) { n, _ = syscall.Read(int(fd), b) })
-	if err != nil || n <= 0 {
-		return 0, os.ErrDeadlineExceeded
-	}
-	return n, nil
-}
-
 // received records that the client has sent n bytes. It returns the reason if the
 // connection is to be closed.
 func (c *clientConn) received(n int) string {
@@ -133,11 +74,6 @@
 		if c.overdue {
 			return refusedIdle
 		}
-		if c.closing {
-			c.closing = false
-			// If this fails, the next read does too.
-			_ = c.Conn.SetReadDeadline(time.Time{})
-		}
 		c.state.Phase, c.state.Since, c.headSize = clients.ReadingHead, now, n
 	case clients.ReadingHead:
 		c.headSize += n
@@ -198,20 +134,23 @@
 
 // CloseWrite closes the sending side, which net/http does after a refusal.
 func (c *clientConn) CloseWrite() error {
-	if tcp, ok := c.Conn.(*net.TCPConn); ok {
-		return tcp.CloseWrite()
+	if conn, ok := c.Conn.(interface{ CloseWrite() error }); ok {
+		return conn.CloseWrite()
 	}
 	return nil
 }
 
 // SetLinger sets how Close treats data that is not sent yet.
 func (c *clientConn) SetLinger(seconds int) error {
-	if tcp, ok := c.Conn.(*net.TCPConn); ok {
-		return tcp.SetLinger(seconds)
+	if conn, ok := c.Conn.(interface{ SetLinger(int) error }); ok {
+		return conn.SetLinger(seconds)
 	}
 	return nil
 }
 
+// NetConn returns the connection below c, as the method of tls.Conn does.
+func (c *clientConn) NetConn() net.Conn { return c.Conn }
+
 // Close implements net.Conn.
 func (c *clientConn) Close() error {
 	c.mu.Lock()
@@ -254,10 +193,6 @@
 	c.mu.Lock()
 	now := c.set.clock.now()
 	c.state.Phase, c.state.Since, c.state.LastByte = phase, now, now
-	if phase == clients.Idle {
-		c.answered = true
-		c.closing = c.set.stopping.Load()
-	}
 	hold := c.headHold
 	c.headHold = nil
 	c.mu.Unlock()
--- a/internal/edge/clientconns.go
+++ b/internal/edge/clientconns.go
@@ -75,8 +75,6 @@
 	times  func() clients.Times
 	// memory is the account for heads; nil for none.
 	memory *holding.Memory
-	// stopping is set once connections are closed after the answer in progress.
-	stopping atomic.Bool
 
 	mu       sync.Mutex
 	conns    map[*clientConn]struct{}
@@ -109,7 +107,7 @@
 	if full && s.count() >= s.max+s.max/refusalShare {
 		return nil
 	}
-	c := &clientConn{Conn: conn, set: s, full: full, acceptedAt: time.Now(), state: clients.Connection{Since: now, LastByte: now, Client: host}}
+	c := &clientConn{Conn: conn, set: s, full: full, state: clients.Connection{Since: now, LastByte: now, Client: host}}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.conns[c] = struct{}{}
@@ -190,17 +188,6 @@
 	}
 }
 
-// closeIdle closes the connections that wait for a request, unless one has arrived. Those
-// that have carried none yet are closed only once they are older than newTime.
-func (s *clientConns) closeIdle(newTime time.Duration) {
-	conns, states := s.snapshot()
-	for i, c := range conns {
-		if states[i].Phase == clients.Idle && (c.used() || time.Since(c.acceptedAt) > newTime) {
-			c.closeIdle()
-		}
-	}
-}
-
 // connStateHook is the ConnState hook of a server on a clientConns listener.
 func connStateHook(conn net.Conn, state http.ConnState) {
 	if c, ok := conn.(*clientConn); ok {
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -309,7 +309,7 @@
 		if err != nil {
 			return errors.Annotatef(err, "listen on %s", address)
 		}
-		l = sockets.wrap(address, l)
+		l = sockets.wrap(address, l, callers)
 		go func() {
 			if err := f(l); err != nil && err != http.ErrServerClosed {
 				failed <- errors.Annotatef(err, "serve on %s", address)
--- a/internal/edge/lifecycle.go
+++ b/internal/edge/lifecycle.go
@@ -8,6 +8,7 @@
 
 	"eelgrassgrade/internal/app/fleet"
 	"eelgrassgrade/internal/app/forward"
+	"eelgrassgrade/internal/graceful"
 	"eelgrassgrade/internal/settings"
 )
 
@@ -34,7 +35,7 @@
 
 // waitForStop handles signals and Shutdown until the daemon has stopped. abortRequests
 // cancels the contexts of callers' requests.
-func (d *Daemon) waitForStop(ctx context.Context, signals <-chan os.Signal, callers *callerServer, abortRequests context.CancelCauseFunc, failed <-chan error) error {
+func (d *Daemon) waitForStop(ctx context.Context, signals <-chan os.Signal, callers *graceful.Server, abortRequests context.CancelCauseFunc, failed <-chan error) error {
 	for {
 		select {
 		case err := <-failed:
@@ -76,12 +77,12 @@
 // waits for the requests in progress. Those that are left at the end are aborted: the end
 // of the process would close their connections without an answer, and in order, which
 // ends a stream of a caller of HTTP/1.0.
-func (d *Daemon) stop(callers *callerServer, abortRequests context.CancelCauseFunc) {
+func (d *Daemon) stop(callers *graceful.Server, abortRequests context.CancelCauseFunc) {
 	began := time.Now()
 	d.stopping.Store(true)
 	d.fleet.Leave()
 	d.log.Info().Int("in_progress", d.forward.Active()).Msg("stopping")
-	callers.announceStop()
+	callers.AnnounceStop()
 	end := began.Add(seconds(d.settings.StopWithinS) - killMargin)
 	d.stopsAt.Store(&end)
 	ctx, cancel := context.WithDeadline(context.Background(), end)
@@ -92,12 +93,12 @@
 		}
 	}()
 	linger(ctx, lingerTime, time.Now, time.Sleep)
-	if err := callers.finish(ctx); err != nil {
+	if err := callers.Finish(ctx); err != nil {
 		d.log.Warn().Int("in_progress", d.forward.Active()).Err(err).Msg("requests_cut")
 		abortRequests(forward.ErrStopping)
 		aborted, cancel := context.WithTimeout(context.Background(), abortTime)
 		defer cancel()
-		if err := callers.finish(aborted); err != nil {
+		if err := callers.Finish(aborted); err != nil {
 			d.log.Warn().Int("in_progress", d.forward.Active()).Err(err).Msg("requests_abandoned")
 			// The connections end with the process whatever this returns.
 			_ = callers.Close()
--- a/internal/edge/sockets.go
+++ b/internal/edge/sockets.go
@@ -8,6 +8,7 @@
 
 	"eelgrassgrade/internal/decide/catalog"
 	"eelgrassgrade/internal/decide/clients"
+	"eelgrassgrade/internal/graceful"
 	"eelgrassgrade/platform"
 )
 
@@ -42,20 +43,23 @@
 	return s
 }
 
-// wrap returns a listener whose connections are bounded, for readiness checks and metrics.
-// The peers' and the callers' listener stay as they are.
-func (s *sockets) wrap(address string, l net.Listener) net.Listener {
-	if address == s.daemon.settings.Listen.Peers || address == s.daemon.settings.Listen.Callers {
+// wrap returns a listener whose connections are bounded. The peers' listener stays as it
+// is. callers is the server that serves the callers' connections.
+func (s *sockets) wrap(address string, l net.Listener, callers *graceful.Server) net.Listener {
+	switch address {
+	case s.daemon.settings.Listen.Peers:
 		return l
+	case s.daemon.settings.Listen.Callers:
+		return &clientListener{Listener: callers.Listener(l), set: s.callers}
 	}
 	return &clientListener{Listener: l, set: s.control}
 }
 
 // callerServer returns the server for callers. Its requests have the context base.
-func (s *sockets) callerServer(base context.Context) *callerServer {
+func (s *sockets) callerServer(base context.Context) *graceful.Server {
 	d := s.daemon
 	handler := &platform.CallerHandler{Service: d.forward, Limits: d.callerLimits, Memory: d.memory, Rank: d.forward.Rank, Refused: s.callers.refused, Now: time.Now}
-	server := &http.Server{BaseContext: func(net.Listener) context.Context { return base }, Handler: handler, MaxHeaderBytes: maxHeaderBytes,
+	server := &http.Server{BaseContext: func(net.Listener) context.Context { return base }, Handler: handler, MaxHeaderBytes: maxHeaderBytes, ConnState: connStateHook,
 		// Otherwise net/http answers OPTIONS * itself, with a success that no endpoint gave.
 		DisableGeneralOptionsHandler: true,
 		ConnContext: func(ctx context.Context, conn net.Conn) context.Context {
@@ -64,7 +68,7 @@
 			}
 			return ctx
 		}}
-	return newCallerServer(server, s.callers)
+	return graceful.New(server)
 }
 
 // callerLimits returns the limits of the configuration in force.
--- a/internal/edge/callerserver_test.go
+++ b/internal/graceful/server_test.go
@@ -1,4 +1,4 @@
-package edge
+package graceful
 
 import (
 	"bufio"
@@ -9,9 +9,6 @@
 	"sync/atomic"
 	"testing"
 	"time"
-
-	"eelgrassgrade/internal/decide/catalog"
-	"eelgrassgrade/internal/decide/clients"
 )
 
 // hookedListener calls onRead after each read that returned bytes, before the server gets
@@ -42,7 +39,7 @@
 	return n, err
 }
 
-// testClient is a client with one connection to a callerServer.
+// testClient is a client with one connection to a Server.
 type testClient struct {
 	t      *testing.T
 	conn   net.Conn
@@ -69,24 +66,23 @@
 	return resp.StatusCode, resp.Close
 }
 
-// startCallerServer starts a server whose handler takes a moment for an answer.
-func startCallerServer(t *testing.T) (*callerServer, *hookedListener, func() *testClient) {
+// startServer starts a server whose handler takes a moment for an answer.
+func startServer(t *testing.T) (*Server, *hookedListener, func() *testClient) {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
 	hooked := &hookedListener{Listener: l}
-	conns := &clientConns{max: 100, clock: newRunClock(), limits: func() catalog.Limits { return defaultLimits }, times: func() clients.Times { return clients.Times{} },
-		conns: map[*clientConn]struct{}{}, refusals: map[string]int{}}
-	s := newCallerServer(&http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+	s := New(&http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		_, _ = io.Copy(io.Discard, r.Body)
 		select {
 		case <-r.Context().Done():
 		case <-time.After(50 * time.Millisecond):
 			w.WriteHeader(http.StatusOK)
 		}
-	})}, conns)
-	go func() { _ = s.Serve(hooked) }()
+	})})
+	wrapped := s.Listener(hooked)
+	go func() { _ = s.Serve(wrapped) }()
 	t.Cleanup(func() { s.Close() })
 	return s, hooked, func() *testClient {
 		conn, err := net.Dial("tcp", l.Addr().String())
@@ -103,7 +99,7 @@
 // Guards against a request whose bytes the process has read in the moment in which its stop
 // is announced: the connection was closed as idle, and the end did not wait for the request.
 func TestARequestThatIsReadWhileTheStopIsAnnouncedIsAnswered(t *testing.T) {
-	s, hooked, dial := startCallerServer(t)
+	s, hooked, dial := startServer(t)
 	kept, idle := dial(), dial()
 	for _, c := range []*testClient{kept, idle} {
 		c.write(testRequest)
@@ -114,7 +110,7 @@
 	announced := make(chan struct{})
 	announce := func() {
 		if hooked.onRead.Swap(nil) != nil {
-			s.announceStop()
+			s.AnnounceStop()
 			close(announced)
 		}
 	}
@@ -123,7 +119,7 @@
 	<-announced
 	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
 	defer cancel()
-	if err := s.finish(ctx); err != nil {
+	if err := s.Finish(ctx); err != nil {
 		t.Errorf("finish: %v", err)
 	}
 	if status, closes := kept.status(); status != http.StatusOK || !closes {
@@ -137,16 +133,16 @@
 // Guards against a client that connected before the listener of a stopping daemon was
 // closed, and whose request is dropped without an answer because it comes after that.
 func TestARequestOnANewConnectionAfterTheListenerWasClosedIsAnswered(t *testing.T) {
-	s, _, dial := startCallerServer(t)
+	s, _, dial := startServer(t)
 	c := dial()
 	for s.conns.count() == 0 {
 		time.Sleep(time.Millisecond)
 	}
-	s.announceStop()
+	s.AnnounceStop()
 	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
 	defer cancel()
 	finished := make(chan error, 1)
-	go func() { finished <- s.finish(ctx) }()
+	go func() { finished <- s.Finish(ctx) }()
 	time.Sleep(100 * time.Millisecond)
 	c.write(testRequest)
 	if status, closes := c.status(); status != http.StatusOK || !closes {
