edge: let the read in progress decide whether a connection is idle

A client whose request the daemon had read in the moment in which its connection was closed for having been idle, or for want of room for new ones, got no answer.

Cause: the same class as at a stop: the connection was closed by its state before the read, and the read was then refused.

Change: idle connections are closed through graceful.Conn, which closes them only if no request has arrived. Room is counted by the connections that close.

--- a/internal/edge/clientconn.go
+++ b/internal/edge/clientconn.go
@@ -10,6 +10,7 @@
 
 	"eelgrassgrade/internal/app/holding"
 	"eelgrassgrade/internal/decide/clients"
+	"eelgrassgrade/internal/graceful"
 )
 
 const (
@@ -199,13 +200,18 @@
 	hold.Release()
 }
 
-// end ends the use of the connection if the reason still holds. A client that sends a
-// body gets a refusal, since its request certainly did not run.
-func (c *clientConn) end(overdue func(clients.Connection) bool) {
+// end ends the use of the connection if the reason still holds, and reports whether it
+// does so. A connection that waits for a request is closed unless one has arrived. A client
+// that sends a body gets a refusal, since its request certainly did not run.
+func (c *clientConn) end(overdue func(clients.Connection) bool) bool {
 	c.mu.Lock()
 	if c.overdue || c.closed || !overdue(c.state) {
 		c.mu.Unlock()
-		return
+		return false
+	}
+	if conn := graceful.FromConn(c.Conn); conn != nil && c.state.Phase == clients.Idle {
+		c.mu.Unlock()
+		return conn.CloseIfIdle()
 	}
 	c.overdue = true
 	reading := c.state.Phase == clients.ReadingBody && c.state.Writing == 0
@@ -213,11 +219,12 @@
 	c.mu.Unlock()
 	switch {
 	case reading && c.Conn.SetReadDeadline(time.Unix(1, 0)) == nil:
-		return
+		return true
 	case unread:
 		// The rest of the answer must not look like its end, and must not stay in the
 		// system's buffers.
 		_ = c.SetLinger(0)
 	}
 	_ = c.Close()
+	return true
 }
--- a/internal/edge/clientconns.go
+++ b/internal/edge/clientconns.go
@@ -143,15 +143,19 @@
 	return conns, states
 }
 
-// makeRoom closes some connections that are not in use, and reports whether there is room.
+// makeRoom closes some connections that are not in use, and reports whether there is room
+// once they are closed.
 func (s *clientConns) makeRoom(now time.Duration) bool {
 	conns, states := s.snapshot()
+	room := s.max - len(conns)
 	for _, i := range clients.Yielding(states, 1+s.max/yieldingShare, now, minSilence) {
 		before := states[i]
-		conns[i].end(func(state clients.Connection) bool { return state == before })
-		s.refused(refusedConnections)
+		if conns[i].end(func(state clients.Connection) bool { return state == before }) {
+			s.refused(refusedConnections)
+			room++
+		}
 	}
-	return s.count() < s.max
+	return room > 0
 }
 
 // refused counts a refusal.
