daemon: stop the callers' server gracefully, also over TLS

The daemons outside the users' platform used the shutdown of net/http as well: a kept connection was closed although its request had been read, and a client that had connected before the listener was closed got no answer to a request after that. They now stop through package graceful, which also closes idle connections when the stop is announced instead of at its end.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"fmt"
+	"net"
 	"net/http"
 	"sync/atomic"
 	"time"
@@ -30,6 +31,7 @@
 	"eelgrassgrade/internal/config"
 	"eelgrassgrade/internal/core"
 	"eelgrassgrade/internal/decide/quarantine"
+	"eelgrassgrade/internal/graceful"
 	"eelgrassgrade/internal/settings"
 )
 
@@ -56,7 +58,7 @@
 	commands *commands.Loop
 	peers    peers
 
-	callers   *http.Server
+	callers   *graceful.Server
 	operators *http.Server
 	draining  atomic.Bool
 	inFlight  atomic.Int64
@@ -100,10 +102,11 @@
 	gw.SetScheduler(d.sched)
 	gw.RequireFreshView(d.control.ViewIsFresh)
 	observed := &gateway.Observed{Gateway: gw, Observer: requests}
-	d.callers = newHTTPServer(d.countInFlight(httpapi.Handler(observed, maxRequestsInProgress)))
+	callers := newHTTPServer(d.countInFlight(httpapi.Handler(observed, maxRequestsInProgress)))
 	// A caller that takes longer than this to send the body gets an error. There is no
 	// timeout for responses, because streams may be long.
-	d.callers.ReadTimeout = readBodyTimeout
+	callers.ReadTimeout = readBodyTimeout
+	d.callers = graceful.New(callers)
 	d.operators = newHTTPServer(d.operatorMux())
 	return d, nil
 }
@@ -195,15 +198,20 @@
 	}
 	defer d.stopPeers()
 	for _, l := range []struct {
-		addr string
-		srv  *http.Server
-	}{{d.settings.Listen.Callers, d.callers}, {d.settings.Listen.Operators, d.operators}} {
+		addr  string
+		wrap  func(net.Listener) net.Listener
+		serve func(net.Listener) error
+	}{
+		{d.settings.Listen.Callers, d.callers.Listener, d.callers.Serve},
+		{d.settings.Listen.Operators, func(l net.Listener) net.Listener { return l }, d.operators.Serve},
+	} {
 		ln, err := d.tls.listen(l.addr)
 		if err != nil {
 			return errors.Annotatef(err, "listen on %s", l.addr)
 		}
+		ln = l.wrap(ln)
 		go func() {
-			if err := l.srv.Serve(ln); !errors.Is(err, http.ErrServerClosed) {
+			if err := l.serve(ln); !errors.Is(err, http.ErrServerClosed) {
 				serveErrs <- err
 			}
 		}()
@@ -223,11 +231,12 @@
 // stop shuts down gracefully, as described at Run.
 func (d *Daemon) stop() error {
 	d.draining.Store(true)
+	d.callers.AnnounceStop()
 	d.log.Info().Int64("requests_in_progress", d.inFlight.Load()).Msg("draining")
 	time.Sleep(ms(*d.settings.DrainWaitMs))
 	ctx, cancel := context.WithTimeout(context.Background(), ms(d.settings.DrainTimeoutMs))
 	defer cancel()
-	err := d.callers.Shutdown(ctx)
+	err := d.callers.Finish(ctx)
 	if closeErr := d.once.Close(ctx); err == nil {
 		err = closeErr
 	}
