forward: try again what has begun, also shortly before a stop ends

Callers of a resumable stream saw their connection cut around a planned stop, with time left; callers of a repeatable request got 502.

Cause: before each try a stopping daemon compares an estimate of the answer's time with the rest of its stop, also for a request that has begun or may have run. For a new request a refusal is cheap, since other daemons are there. Here it is the certain loss that the check should prevent. And a silent stream left its endpoint without counting the time of the stages that have to run again, so that the same check ended it after them.

Evidence: TestAStoppingDaemonTriesAgainWhatHasBegun, on virtual time. On the code before, all six cases fail: four streams are cut after their first event or move without time for it, two requests get 502 after one send.

Change: only a request that certainly has not run is refused for an estimate. A stream that moves counts its stages.

After: the six cases get their whole answers; the package's tests pass.

--- a/internal/app/forward/attempt.go
+++ b/internal/app/forward/attempt.go
@@ -76,10 +76,8 @@
 			}
 			break
 		}
-		if err := f.stopError(f.expectedAnswerTime(rs.route)); err != nil {
-			if !rs.mayHaveRun {
-				lastErr = err
-			}
+		if err := f.stopError(f.expectedAnswerTime(rs.route)); err != nil && !rs.mayHaveRun {
+			lastErr = err
 			break
 		}
 		candidates := f.pickOrWait(ctx, rs, tried)
--- a/internal/app/forward/move.go
+++ b/internal/app/forward/move.go
@@ -60,15 +60,15 @@
 // mayStartAgain reports whether the time suffices for a request that has begun to be sent
 // to another endpoint, and whether its stages may run again if they have to.
 func (f *Forwarder) mayStartAgain(rs *requestState) bool {
-	if f.stopError(f.expectedAnswerTime(rs.route)) != nil {
-		return false
-	}
-	needed := f.latencies.expectedFirstEvent(rs.route.Name)
+	needed, stages := f.latencies.expectedFirstEvent(rs.route.Name), time.Duration(0)
 	if rs.inputs.inputsReleased() {
 		if rs.stageRuns > 1 {
 			return false
 		}
-		needed = rs.plan.expectedTime
+		needed, stages = rs.plan.expectedTime, rs.plan.expectedTime-rs.plan.firstEventTime
+	}
+	if f.stopError(stages+f.expectedAnswerTime(rs.route)) != nil {
+		return false
 	}
 	return f.now().Add(max(needed, minRemaining)).Before(rs.deadline)
 }
