fleetrpc: keep stage tasks when a connection is replaced

Callers saw stages that ran twice, or were refused for lack of time or of retry budget, although no daemon was lost: several tasks of one daemon were lost at one coordinator in the same moment.

Cause: after two exchanges without an answer, 0.4 s each, the connection to the daemon was closed. It carries stage tasks, releases and permits as well, so a coordinator that was only slow to answer lost the work that it was doing. The class: a daemon that is slow to report has its running work started elsewhere.

Change: later calls open another connection; the old one is kept for its calls in progress and closed after the last of them. It is closed earlier if it does not answer a health check while the daemon answers three on the new connection, 0.2 s apart, since an open connection may go silent for good. Time in which the daemon answers on neither does not count; a lost daemon ends the calls as before. At most two replaced connections to a daemon are kept.

--- /dev/null
+++ b/internal/adapter/fleetrpc/conns.go
@@ -0,0 +1,179 @@
+package fleetrpc
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/backoff"
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/credentials/insecure"
+	healthpb "google.golang.org/grpc/health/grpc_health_v1"
+	"google.golang.org/grpc/status"
+
+	"eelgrassgrade/internal/adapter/fleetrpc/fleetpb"
+)
+
+const (
+	// A replaced connection is dead if it has not answered while maxUnansweredPings pings
+	// on the new one, pingInterval apart, were answered. That is long enough for TCP to
+	// repeat a packet that was lost in an outage of a second.
+	maxUnansweredPings = 3
+	pingInterval       = 200 * time.Millisecond
+	// pingTimeout bounds a ping on the new connection.
+	pingTimeout = 400 * time.Millisecond
+	// recheckInterval is the time between two checks of a replaced connection.
+	recheckInterval = 300 * time.Millisecond
+	// maxReplaced bounds the replaced connections to one daemon that are kept for their
+	// calls. Beyond it, the oldest is closed.
+	maxReplaced = 2
+)
+
+// conn is a connection to another daemon. Client.mu guards calls and replaced.
+type conn struct {
+	*grpc.ClientConn
+	// calls counts the calls in progress.
+	calls int
+	// replaced says that new calls use another connection.
+	replaced bool
+}
+
+// daemonClient calls one daemon. done must be called when the call has ended.
+type daemonClient struct {
+	fleetpb.FleetClient
+	conn *conn
+	done func()
+}
+
+// fleetClient returns a client for the daemon with the address. It reuses the connection.
+func (c *Client) fleetClient(address string) (*daemonClient, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	current := c.conns[address]
+	if current == nil {
+		opened, err := dial(address)
+		if err != nil {
+			return nil, err
+		}
+		current = &conn{ClientConn: opened}
+		c.conns[address] = current
+	}
+	current.calls++
+	return &daemonClient{fleetpb.NewFleetClient(current), current, func() { c.callEnded(address, current) }}, nil
+}
+
+// dial returns a connection that is opened by its first call.
+func dial(address string) (*grpc.ClientConn, error) {
+	return grpc.NewClient("passthrough:///"+address, grpc.WithTransportCredentials(insecure.NewCredentials()),
+		grpc.WithNoProxy(), grpc.WithDisableServiceConfig(), grpc.WithDisableRetry(),
+		grpc.WithInitialWindowSize(flowWindowBytes), grpc.WithInitialConnWindowSize(flowWindowBytes),
+		grpc.WithReadBufferSize(connBufferBytes), grpc.WithWriteBufferSize(connBufferBytes), grpc.WithSharedWriteBuffer(true),
+		grpc.WithDefaultCallOptions(grpc.MaxCallRecvMsgSize(maxMessageBytes), grpc.MaxCallSendMsgSize(maxMessageBytes)),
+		grpc.WithConnectParams(grpc.ConnectParams{MinConnectTimeout: dialTimeout,
+			Backoff: backoff.Config{BaseDelay: baseBackoff, Multiplier: 2, Jitter: 0.2, MaxDelay: maxBackoff}}))
+}
+
+// callEnded records the end of a call and closes a replaced connection after its last one.
+func (c *Client) callEnded(address string, ended *conn) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if ended.calls--; ended.calls == 0 && ended.replaced {
+		c.closeReplaced(address, ended)
+	}
+}
+
+// closeReplaced closes a replaced connection. The caller holds mu.
+func (c *Client) closeReplaced(address string, old *conn) {
+	c.replaced[address] = slices.DeleteFunc(c.replaced[address], func(x *conn) bool { return x == old })
+	if len(c.replaced[address]) == 0 {
+		delete(c.replaced, address)
+	}
+	old.Close()
+}
+
+// Reconnect implements fleet.Transport. The daemon may work on the calls in progress and be
+// only slow to answer, so the old connection is kept until they have ended or it is known
+// to be dead.
+func (c *Client) Reconnect(address string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	old := c.conns[address]
+	if old == nil {
+		return
+	}
+	delete(c.conns, address)
+	if old.calls == 0 {
+		old.Close()
+		return
+	}
+	old.replaced = true
+	if c.replaced[address] = append(c.replaced[address], old); len(c.replaced[address]) > maxReplaced {
+		c.closeReplaced(address, c.replaced[address][0])
+	}
+	go c.checkReplaced(address, old)
+}
+
+// checkReplaced closes a replaced connection if it is dead. It returns when the connection
+// is closed.
+func (c *Client) checkReplaced(address string, old *conn) {
+	for c.isReplaced(address, old) {
+		if c.isDead(address, old) {
+			c.mu.Lock()
+			c.closeReplaced(address, old)
+			c.mu.Unlock()
+			return
+		}
+		time.Sleep(recheckInterval)
+	}
+}
+
+// isReplaced reports whether a replaced connection is still open.
+func (c *Client) isReplaced(address string, old *conn) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return slices.Contains(c.replaced[address], old)
+}
+
+// isDead reports whether a daemon answers on its present connection and not on a replaced
+// one. Time in which it answers on neither, or in which this process is paused, does not
+// count.
+func (c *Client) isDead(address string, old *conn) bool {
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	answered := make(chan struct{})
+	go func() {
+		defer close(answered)
+		ping(ctx, old)
+	}()
+	for unanswered := 0; unanswered < maxUnansweredPings; {
+		if c.pingCurrent(ctx, address) {
+			unanswered++
+		}
+		select {
+		case <-answered:
+			return false
+		case <-time.After(pingInterval):
+		}
+	}
+	return true
+}
+
+// pingCurrent reports whether a daemon answers on its present connection.
+func (c *Client) pingCurrent(ctx context.Context, address string) bool {
+	p, err := c.fleetClient(address)
+	if err != nil {
+		return false
+	}
+	defer p.done()
+	ctx, cancel := context.WithTimeout(ctx, pingTimeout)
+	defer cancel()
+	return ping(ctx, p.conn)
+}
+
+// ping reports whether the daemon answers a health check. Earlier versions answer that
+// they have none.
+func ping(ctx context.Context, to *conn) bool {
+	_, err := healthpb.NewHealthClient(to).Check(ctx, &healthpb.HealthCheckRequest{})
+	return err == nil || status.Code(err) == codes.Unimplemented
+}
--- a/internal/adapter/fleetrpc/fleetrpc.go
+++ b/internal/adapter/fleetrpc/fleetrpc.go
@@ -9,9 +9,9 @@
 	"time"
 
 	"google.golang.org/grpc"
-	"google.golang.org/grpc/backoff"
 	"google.golang.org/grpc/codes"
-	"google.golang.org/grpc/credentials/insecure"
+	"google.golang.org/grpc/health"
+	healthpb "google.golang.org/grpc/health/grpc_health_v1"
 	"google.golang.org/grpc/status"
 
 	"eelgrassgrade/internal/adapter/fleetrpc/fleetpb"
@@ -53,47 +53,16 @@
 type Client struct {
 	now func() time.Time
 
-	mu    sync.Mutex
-	conns map[string]*grpc.ClientConn
+	mu sync.Mutex
+	// conns holds the connection for new calls to each daemon, by address, and replaced the
+	// earlier ones that have calls in progress.
+	conns    map[string]*conn
+	replaced map[string][]*conn
 }
 
 // NewClient returns a client without connections.
 func NewClient(now func() time.Time) *Client {
-	return &Client{now: now, conns: map[string]*grpc.ClientConn{}}
-}
-
-// fleetClient returns a gRPC client for the daemon with the address. It reuses the
-// connection.
-func (c *Client) fleetClient(address string) (fleetpb.FleetClient, error) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	conn := c.conns[address]
-	if conn == nil {
-		var err error
-		conn, err = grpc.NewClient("passthrough:///"+address, grpc.WithTransportCredentials(insecure.NewCredentials()),
-			grpc.WithNoProxy(), grpc.WithDisableServiceConfig(), grpc.WithDisableRetry(),
-			grpc.WithInitialWindowSize(flowWindowBytes), grpc.WithInitialConnWindowSize(flowWindowBytes),
-			grpc.WithReadBufferSize(connBufferBytes), grpc.WithWriteBufferSize(connBufferBytes), grpc.WithSharedWriteBuffer(true),
-			grpc.WithDefaultCallOptions(grpc.MaxCallRecvMsgSize(maxMessageBytes), grpc.MaxCallSendMsgSize(maxMessageBytes)),
-			grpc.WithConnectParams(grpc.ConnectParams{MinConnectTimeout: dialTimeout,
-				Backoff: backoff.Config{BaseDelay: baseBackoff, Multiplier: 2, Jitter: 0.2, MaxDelay: maxBackoff}}))
-		if err != nil {
-			return nil, err
-		}
-		c.conns[address] = conn
-	}
-	return fleetpb.NewFleetClient(conn), nil
-}
-
-// Drop implements fleet.Transport.
-func (c *Client) Drop(address string) {
-	c.mu.Lock()
-	conn := c.conns[address]
-	delete(c.conns, address)
-	c.mu.Unlock()
-	if conn != nil {
-		conn.Close()
-	}
+	return &Client{now: now, conns: map[string]*conn{}, replaced: map[string][]*conn{}}
 }
 
 // Exchange implements fleet.Transport.
@@ -102,6 +71,7 @@
 	if err != nil {
 		return nil, err
 	}
+	defer p.done()
 	r, err := p.Exchange(ctx, statusToPB(c.now(), s))
 	if err != nil {
 		return nil, err
@@ -115,6 +85,7 @@
 	if err != nil {
 		return err
 	}
+	defer p.done()
 	_, err = p.Announce(ctx, &fleetpb.Reading{From: r.From, Endpoint: string(r.Endpoint), Tokens: int64(r.Tokens), LeftMs: uint32(max(r.Remaining.Milliseconds(), 0))})
 	return err
 }
@@ -126,6 +97,7 @@
 	if err != nil {
 		return mirror.Batch{}, err
 	}
+	defer p.done()
 	r, err := p.Pull(ctx, &fleetpb.PullRequest{Table: table, After: after.Version, Restored: restoredToPB(after)})
 	if err != nil {
 		return mirror.Batch{}, err
@@ -137,6 +109,7 @@
 func (c *Client) Submit(ctx context.Context, address string, group int, t *stagework.Task) ([]stagework.Result, error) {
 	p, err := c.fleetClient(address)
 	if err == nil {
+		defer p.done()
 		ctx, cancel := context.WithCancel(ctx)
 		defer cancel()
 		var replies fleetpb.Fleet_SubmitClient
@@ -164,6 +137,7 @@
 	if err != nil {
 		return err
 	}
+	defer p.done()
 	_, err = p.Release(ctx, &fleetpb.ReleaseRequest{Pool: string(pool), Results: resultsToPB(results)})
 	return err
 }
@@ -174,6 +148,7 @@
 	if err != nil {
 		return nil, err
 	}
+	defer p.done()
 	reply, err := p.Permit(ctx, &fleetpb.PermitRequest{From: string(r.From), Limit: limitToPB(c.now(), r.Limit), Unpermitted: int32(r.Unpermitted), ReportOnly: r.ReportOnly, Rank: int32(r.Rank)})
 	if err != nil {
 		return nil, err
@@ -214,6 +189,7 @@
 		s.tables[t.Name()] = t
 	}
 	fleetpb.RegisterFleetServer(s.grpc, s)
+	healthpb.RegisterHealthServer(s.grpc, health.NewServer())
 	return s
 }
 
--- a/internal/adapter/fleetrpc/fleetrpc_test.go
+++ b/internal/adapter/fleetrpc/fleetrpc_test.go
@@ -77,13 +77,16 @@
 	stopping    atomic.Bool
 }
 
-func startDaemon(t *testing.T) *daemon {
+func startDaemon(t *testing.T) *daemon { return startDaemonWith(t, fakePorts{}) }
+
+// startDaemonWith starts a daemon that calls the given endpoints.
+func startDaemonWith(t *testing.T, e stagework.Endpoints) *daemon {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
 	d := &daemon{address: l.Addr().String(), table: mirror.NewTable("t", nil), received: make(chan *fleet.Status, 9)}
-	d.coordinator = stagework.NewCoordinator(t.Context(), fakePorts{}, neverPaused, fakePorts{}, fakePorts{}, fakePorts{}, time.Now)
+	d.coordinator = stagework.NewCoordinator(t.Context(), e, neverPaused, fakePorts{}, fakePorts{}, fakePorts{}, time.Now)
 	f := fleet.New(fleet.Options{Self: fleet.Member{ID: "d", Address: d.address}, Events: fakePorts{}, Now: time.Now,
 		Source: func() *fleet.Status { return &fleet.Status{Tables: map[string]core.CopyPosition{"t": at(7)}} }, OnStatus: func(s *fleet.Status) { d.received <- s }})
 	d.fleet = f
--- a/internal/app/fleet/fleet.go
+++ b/internal/app/fleet/fleet.go
@@ -169,8 +169,9 @@
 // Transport sends messages to other daemons.
 type Transport interface {
 	Exchange(ctx context.Context, address string, s *Status) (*Status, error)
-	// Drop closes the connection to the address; the next call opens another.
-	Drop(address string)
+	// Reconnect makes later calls to the address open another connection. Calls in progress
+	// go on unless the daemon answers only on the new connection.
+	Reconnect(address string)
 	// Announce announces a long prompt to the daemon at the address.
 	Announce(ctx context.Context, address string, r Prefill) error
 }
--- a/internal/app/fleet/fleet_test.go
+++ b/internal/app/fleet/fleet_test.go
@@ -21,10 +21,10 @@
 	// cut holds the addresses that are cut off in both directions.
 	cut map[string]bool
 	// mute holds the addresses whose outgoing exchanges fail.
-	mute      map[string]bool
-	drops     atomic.Int32
-	exchanges atomic.Int32
-	announced atomic.Int32
+	mute       map[string]bool
+	reconnects atomic.Int32
+	exchanges  atomic.Int32
+	announced  atomic.Int32
 	// loads is the load that the first fleet reports.
 	loads atomic.Pointer[EndpointLoad]
 }
@@ -56,8 +56,8 @@
 	return nil
 }
 
-func (n *network) Drop(string) {
-	n.drops.Add(1)
+func (n *network) Reconnect(string) {
+	n.reconnects.Add(1)
 }
 
 func (n *network) setCut(address string, cut bool) {
@@ -199,7 +199,7 @@
 		default:
 			t.Error("the channel from Watch is open after the loss of d2")
 		}
-		if net.drops.Load() == 0 {
+		if net.reconnects.Load() == 0 {
 			t.Error("the dead connection is not dropped")
 		}
 		net.setCut("a2", false)
--- a/internal/app/fleet/schedule.go
+++ b/internal/app/fleet/schedule.go
@@ -155,20 +155,20 @@
 	cancel()
 	f.mu.Lock()
 	p.inExchange = false
-	drop := false
+	reconnect := false
 	if err != nil {
 		if p.failures++; p.failures == 1 {
 			// One exchange may fail because of a lost packet. Resetting triedAt keeps the
 			// retry from being queued behind the exchanges with all other peers.
 			p.triedAt = time.Time{}
 		}
-		drop = p.failures%reconnectAfter == 0
+		reconnect = p.failures%reconnectAfter == 0
 	} else {
 		p.failures = 0
 	}
 	f.mu.Unlock()
-	if drop {
-		f.transport.Drop(p.address)
+	if reconnect {
+		f.transport.Reconnect(p.address)
 	}
 	if err == nil {
 		f.receive(reply)
--- a/internal/app/stagework/client_test.go
+++ b/internal/app/stagework/client_test.go
@@ -19,7 +19,7 @@
 func (noPeers) Exchange(context.Context, string, *fleet.Status) (*fleet.Status, error) {
 	return nil, context.Canceled
 }
-func (noPeers) Drop(string)                                           {}
+func (noPeers) Reconnect(string)                                      {}
 func (noPeers) Announce(context.Context, string, fleet.Prefill) error { return nil }
 func (noPeers) PeerAlive(fleet.Member)                                {}
 func (noPeers) PeerLost(fleet.Member, time.Duration)                  {}
