forward: leave a silent stream only once its stages have run again

Callers of a resumable stream behind stages got a part of it and a closed connection while their engine was at work. The users count it as LOST around a planned stop.

Cause: an engine that is out of memory pauses streams. After 1.5 s of silence the stream was left for another engine that had room, and only then its stages ran again, since their results are released at the first event. Where they did not (the budget of repeats of their pool was spent, their coordinator was lost, no time was left), the caller's connection was cut.

The new test failed in three of five rows on the code before.

Change: the stages run again while the endpoint may still go on. The stream leaves when they have run, another endpoint still takes it and no event has come. Otherwise it stays, and what was produced is released. A stream that breaks off meanwhile uses the results.

After: all rows pass; the rest of the package's tests too.

--- a/internal/app/forward/attempt.go
+++ b/internal/app/forward/attempt.go
@@ -69,6 +69,8 @@
 	var lastErr error = &core.Error{Kind: core.Unavailable, Step: "endpoint", Ran: core.RanNot, RetryAfter: 500 * time.Millisecond, Detail: "no endpoint of the pool is available"}
 	s := &streamRelay{forwarder: f, state: rs, w: w, tried: tried}
 	s.mayMove = func(ctx context.Context) bool { return f.mayMove(ctx, s) }
+	s.prepare = func() *preparation { return f.prepareInputs(ctx, rs) }
+	defer s.stay()
 	for try := 1; try <= maxTries; try++ {
 		if err := f.partsError(rs); err != nil {
 			if !rs.mayHaveRun {
@@ -111,9 +113,16 @@
 			s.left = e.ID
 		}
 		s.moves, s.stayReported = false, false
-		if ctx.Err() != nil || !moves && !f.mayRetry(rs, failure, s.possibleRuns) {
+		// A preparation means that the retry was taken before the stream broke off.
+		if ctx.Err() != nil || !moves && s.preparing == nil && !f.mayRetry(rs, failure, s.possibleRuns) {
 			break
 		}
+		if prepared, err := s.useInputs(); err != nil {
+			lastErr = err
+			break
+		} else if prepared {
+			continue
+		}
 		if failure.Kind == core.Conflict || rs.inputs.inputsReleased() {
 			// The results that the request needs are gone, so the stages must run again.
 			if rs.stageRuns > 1 {
--- a/internal/app/forward/stream.go
+++ b/internal/app/forward/stream.go
@@ -52,6 +52,9 @@
 	// moves is set if so, stayReported once it was decided for the present endpoint.
 	mayMove             func(context.Context) bool
 	moves, stayReported bool
+	// prepare starts a preparation; preparing is the one in progress, or nil.
+	prepare   func() *preparation
+	preparing *preparation
 	// left is the endpoint that the stream has left for its silence; empty if there is none
 	// or it got the request again.
 	left core.InstanceID
@@ -116,6 +119,7 @@
 		}
 		if findLastEventID(data) != "" {
 			lastEventAt = s.forwarder.now()
+			s.stay()
 		}
 		switch {
 		case c.err == io.EOF && !whole:
@@ -157,6 +161,15 @@
 		select {
 		case c := <-chunks:
 			return c, true
+		case <-s.preparing.ready():
+			select {
+			case c := <-chunks:
+				return c, true
+			default:
+			}
+			if s.finishMove(ctx) {
+				return chunk{}, false
+			}
 		case <-t.C:
 			select {
 			case c := <-chunks:
@@ -166,9 +179,10 @@
 			now := s.forwarder.now()
 			wait := stallRecheck
 			switch {
+			case s.preparing != nil:
 			case now.Sub(stallAt) >= processPauseThreshold:
 				wait = processPauseGrace
-			case s.mayMove(ctx):
+			case s.mayMove(ctx) && s.startMove():
 				return chunk{}, false
 			}
 			stallAt = now.Add(wait)
