fleet: test the connection on which work waits

Callers waited until their deadline for a stage whose connection had gone silent without a reset.

Cause: exchanges are started by one side. The other one starts them for a peer on which work waits only if no status of the peer arrived in the last 0.18 s. Where the peer's exchanges arrive shortly before each interval, it starts none, and its own connection, which carries the tasks, is never found to be dead.

Evidence: TestADeadConnectionIsReplacedThoughThePeerIsHeard failed on the code before, first at a phase of 30 ms between the two daemons' intervals.

Change: an exchange with a watched peer is also due if it answered none that this daemon started for two intervals in which work waited on it.

After: the test passes for ten phases and ten times of the fault; go test ./internal/app/fleet passes. Cost: at most one exchange more in 0.6 s for a peer with tasks in progress.

--- a/internal/app/fleet/fleet.go
+++ b/internal/app/fleet/fleet.go
@@ -38,6 +38,10 @@
 	// reconnectAfter is the number of consecutive failed exchanges after which the
 	// connection is replaced: an open connection may be dead while new ones work.
 	reconnectAfter = 2
+	// watchedPeerInterval is the time within which an exchange with a watched peer is
+	// started although the peer starts exchanges itself: these do not show whether the
+	// connection to it, on which work waits, is dead.
+	watchedPeerInterval = 2 * exchangeInterval
 	// forgetUnlistedAfter is how long a silent daemon that is not in the platform's
 	// list is still tried.
 	forgetUnlistedAfter = time.Minute
@@ -196,8 +200,10 @@
 	receivedAt time.Time
 	// triedAt is when the last exchange was started. The first failure in a row resets
 	// it.
-	triedAt    time.Time
-	addedAt    time.Time
+	triedAt time.Time
+	addedAt time.Time
+	// answeredAt is when an exchange that this daemon started was last answered.
+	answeredAt time.Time
 	failures   int
 	inExchange bool
 	// contacted is set once an exchange with the peer has ended, successfully or not,
--- a/internal/app/fleet/schedule.go
+++ b/internal/app/fleet/schedule.go
@@ -92,7 +92,7 @@
 		sinceContact := now.Sub(p.lastContact())
 		switch {
 		case p.inExchange:
-		case p.watchers > 0 && sinceContact >= minExchangeGap, p.alive && len(p.status.Waits) > 0 && sinceContact >= queuedPeerInterval:
+		case p.watchers > 0 && (sinceContact >= minExchangeGap || p.connectionUnproven(now)), p.alive && len(p.status.Waits) > 0 && sinceContact >= queuedPeerInterval:
 			urgent = append(urgent, p)
 		case sinceContact >= minGap:
 			due = append(due, p)
@@ -140,6 +140,12 @@
 	return result
 }
 
+// connectionUnproven reports whether work has waited on a peer for a while in which the
+// peer answered no exchange that this daemon started.
+func (p *peer) connectionUnproven(now time.Time) bool {
+	return now.Sub(p.watchedAt) >= watchedPeerInterval && now.Sub(p.answeredAt) >= watchedPeerInterval && now.Sub(p.triedAt) >= minExchangeGap
+}
+
 // lastContact returns when the peer's last status arrived or the last exchange with it
 // was started, whichever is later.
 func (p *peer) lastContact() time.Time {
@@ -164,7 +170,7 @@
 		}
 		reconnect = p.failures%reconnectAfter == 0
 	} else {
-		p.failures = 0
+		p.failures, p.answeredAt = 0, f.now()
 	}
 	f.mu.Unlock()
 	if reconnect {
