edge: end the stop of a daemon that runs late earlier

A daemon that is starved of processor time was killed before it had answered: callers saw connections that closed 8.00 s after SIGTERM.

Cause: the time for a stop counted from when the process noticed the signal.

Change: a daemon measures how late it runs, at its checks of connections twice a second. The end of a stop allows for a signal that is as old as the present delay or the usual one, and for last answers that are written as late. A single longer delay that is over was a pause and does not count.

--- /dev/null
+++ b/internal/edge/delay.go
@@ -0,0 +1,87 @@
+package edge
+
+import (
+	"sync"
+	"time"
+)
+
+const (
+	// delayWindow is how long a delay of the process counts as recent.
+	delayWindow = 5 * time.Second
+	// maxDelayShare bounds the part of the time for a stop by which it ends earlier.
+	maxDelayShare = 0.6
+)
+
+// delayMonitor measures how late the process runs: for want of processor time, or after a
+// pause. A signal may be as old as that when the process notices it.
+type delayMonitor struct {
+	interval time.Duration
+
+	mu   sync.Mutex
+	last time.Time
+	// delays holds the delays of the last delayWindow.
+	delays []observedDelay
+}
+
+type observedDelay struct {
+	at    time.Time
+	delay time.Duration
+}
+
+// newDelayMonitor returns a monitor that is told the time once in each interval.
+func newDelayMonitor(interval time.Duration, now time.Time) *delayMonitor {
+	return &delayMonitor{interval: interval, last: now}
+}
+
+// observe records that the process runs now.
+func (m *delayMonitor) observe(now time.Time) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if d := now.Sub(m.last) - m.interval; d > 0 {
+		m.delays = append(m.delays, observedDelay{now, d})
+	}
+	for len(m.delays) > 0 && now.Sub(m.delays[0].at) > delayWindow {
+		m.delays = m.delays[1:]
+	}
+	m.last = now
+}
+
+// schedulingDelay describes how late the process runs.
+type schedulingDelay struct {
+	// present is for how long the process may not have run until now, if that is longer than
+	// usual.
+	present time.Duration
+	// usual is how late it has run more than once lately. A single longer delay was a pause,
+	// which is over.
+	usual time.Duration
+}
+
+// delay returns the present scheduling delay.
+func (m *delayMonitor) delay(now time.Time) schedulingDelay {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	var longest, second time.Duration
+	for _, d := range m.delays {
+		switch {
+		case now.Sub(d.at) > delayWindow:
+		case d.delay > longest:
+			longest, second = d.delay, longest
+		default:
+			second = max(second, d.delay)
+		}
+	}
+	present := now.Sub(m.last)
+	if present <= m.interval+second {
+		// The process is not late more than usual.
+		present = 0
+	}
+	return schedulingDelay{present, second}
+}
+
+// stopEnd returns when the requests of a stop have to have ended whose signal was noticed at
+// noticed. The platform kills the process within from the signal on, which may be as old as
+// the delay, and the last answers are written by a process that runs late as well.
+func stopEnd(noticed time.Time, d schedulingDelay, within time.Duration) time.Time {
+	early := max(d.present, d.usual) + d.usual
+	return noticed.Add(within - killMargin - min(early, time.Duration(maxDelayShare*float64(within))))
+}
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -67,7 +67,9 @@
 	budgets     *repeatBudgets
 	fleetSize   fleetSize
 	// stopsAt is when the daemon ends; nil unless it is stopping.
-	stopsAt  atomic.Pointer[time.Time]
+	stopsAt atomic.Pointer[time.Time]
+	// delays tells how late the process runs.
+	delays   *delayMonitor
 	metrics  *metrics.Set
 	stopping atomic.Bool
 	shutdown chan struct{}
@@ -98,6 +100,7 @@
 	d := &Daemon{settingsPath: path, startedAt: time.Now(), settings: s, log: log, metrics: metrics.NewSet(), shutdown: make(chan struct{}, 1)}
 	d.telemetry = telemetry.NewHostedRecorder(log, d.metrics, s.Log.LinesPerS)
 	d.memory = holding.New(clients.RoomFor(int64(s.MemoryMB)<<20, s.ClientLimits.MemoryShare), time.Now)
+	d.delays = newDelayMonitor(sweepInterval, time.Now())
 	d.store = platform.NewStore(s.Store)
 	d.rpc = fleetrpc.NewClient(time.Now)
 	self := fleet.Member{ID: core.InstanceID(s.Instance), Address: s.Listen.AdvertisePeers, DataCenter: core.DataCenterID(s.DataCenter),
--- a/internal/edge/sockets.go
+++ b/internal/edge/sockets.go
@@ -104,7 +104,9 @@
 			return
 		case <-t.C:
 		}
-		s.clock.advance(time.Now())
+		now := time.Now()
+		s.clock.advance(now)
+		s.daemon.delays.observe(now)
 		s.callers.sweep(s.daemon.memory.TakeRefused())
 		s.control.sweep(false)
 		if i%reportEvery == 0 {
