stagework: let a leaving daemon coordinate its own tasks

Callers whose requests were in progress at a stopping daemon were refused with "no daemon is available to coordinate", although the daemon itself could call the endpoints: when it was the only one, was cut off from the others, or the last other one had just been lost.

Cause: a leaving daemon is not in its own view, from which coordinators are chosen.

Change: a daemon that is leaving and has no other coordinator left uses its own.

--- a/internal/app/stagework/client.go
+++ b/internal/app/stagework/client.go
@@ -90,7 +90,8 @@
 
 // candidates returns the daemons that may coordinate a group, in order of preference:
 // if all endpoints of the group are in one data centre, the daemons there come first.
-// Daemons of other regions coordinate a group only if none of its region is alive.
+// Daemons of other regions coordinate a group only if none of its region is alive. A daemon
+// that is leaving coordinates only for itself, if it sees no other.
 func (c *Client) candidates(pool core.PoolID, group int) []fleet.Member {
 	return c.rankedCandidates(pool, group, c.groupsOf(pool))
 }
@@ -108,6 +109,9 @@
 		}
 	}
 	ranked := c.fleet.View().Ranked(string(pool)+"/"+strconv.Itoa(group), dataCenter)
+	if len(ranked) == 0 {
+		return []fleet.Member{c.self}
+	}
 	if sameRegion := c.membersIn(ranked, region); len(sameRegion) > 0 {
 		return sameRegion
 	}
@@ -225,7 +229,8 @@
 	return nil, err
 }
 
-// nextCandidate returns the first candidate whose address is not in tried.
+// nextCandidate returns the first candidate whose address is not in tried. If there is none
+// and this daemon is leaving, it returns this daemon.
 func (c *Client) nextCandidate(pool core.PoolID, group int, tried []string) (fleet.Member, bool) {
 	for _, m := range c.candidates(pool, group) {
 		used := false
@@ -236,7 +241,8 @@
 			return m, true
 		}
 	}
-	return fleet.Member{}, false
+	leaving := !slices.ContainsFunc(c.fleet.View().Alive, func(m fleet.Member) bool { return m.ID == c.self.ID })
+	return c.self, leaving
 }
 
 // submitTo submits a task to one daemon and cancels the call when that daemon is lost.
--- a/internal/app/stagework/client_test.go
+++ b/internal/app/stagework/client_test.go
@@ -30,7 +30,7 @@
 		ctx, cancel := context.WithCancel(t.Context())
 		sim := newSimulation(t, endpointCount)
 		self := fleet.Member{ID: "d0", Address: "a0", DataCenter: "dc0"}
-		fl := fleet.New(fleet.Options{Self: self, Transport: noPeers{}, Events: noPeers{}, Now: time.Now})
+		fl := fleet.New(fleet.Options{Self: self, Transport: noPeers{}, Events: noPeers{}, OnStatus: func(*fleet.Status) {}, Source: func() *fleet.Status { return &fleet.Status{} }, Now: time.Now})
 		local := NewCoordinator(ctx, sim, sim.pausedUntil, sim, noEvents{}, &fakeBudget{remaining: 50, optional: 25}, time.Now)
 		f(sim, NewClient(fl, self, local, nil, noEvents{}, time.Now, func(dc core.DataCenterID) core.RegionID { return "region-of-" + core.RegionID(dc) }))
 		cancel()
@@ -159,3 +159,37 @@
 		}
 	})
 }
+
+// Guards against requests that a stopping daemon refuses for lack of a coordinator although
+// it could coordinate their stages itself: it is the only daemon, is cut off from the others,
+// or the last other one is lost.
+func TestALeavingDaemonCoordinatesForItself(t *testing.T) {
+	for _, others := range [][]fleet.Member{nil, {{ID: "d1", Address: "a1"}}} {
+		withClient(t, 3, func(sim *simulation, c *Client) {
+			c.SetEndpoints(sim.pool(), sim.entries())
+			c.remote = noCoordinators{}
+			ctx, cancel := context.WithCancel(sim.t.Context())
+			defer cancel()
+			go c.fleet.Run(ctx)
+			c.fleet.Leave()
+			time.Sleep(time.Second)
+			for _, m := range others {
+				c.fleet.HandleExchange(&fleet.Status{Member: m, Incarnation: 1})
+			}
+			if _, err := c.Run(ctx, newTask("r", 2, 0, time.Second, 5*time.Second)); err != nil {
+				t.Errorf("beside %d other daemons: %v", len(others), err)
+			}
+		})
+	}
+}
+
+// noCoordinators is a Coordinators whose daemons have ended.
+type noCoordinators struct{}
+
+func (noCoordinators) Submit(context.Context, string, int, *Task) ([]Result, error) {
+	return nil, &core.Error{Kind: core.Unavailable, Ran: core.RanUnknown, Detail: LostCoordinator}
+}
+
+func (noCoordinators) Release(context.Context, string, core.PoolID, []Result) error {
+	return context.Canceled
+}
