Log what becomes of each request while its daemon stops

A request that ended around a SIGTERM left no trace that told in which phase it was, and a connection that the daemon closed with an unanswered request could not be told from one that its caller had left.

- forward.Progress lists the requests in progress with their phase, from the end of their heads on, bounded at 8,192.
- While the daemon stops, request_ended is not sampled and has stop_ms and phase, up to log.lines_per_s lines a second.
- stop_progress at SIGTERM and each second, and a stopped line with what became of all requests and connections and with other daemons' stage tasks.
- connection_closed for each connection that the daemon closes with an unanswered request: 20 a second, bursts of 100.
- eelgrass_stop_requests_total, eelgrass_connections_closed_total.

A whole answer that could not be written to its caller was logged as ok: the deferred end of Serve overwrote the flag. It is logged as cut now.

--- a/internal/adapter/fleetrpc/fleetrpc.go
+++ b/internal/adapter/fleetrpc/fleetrpc.go
@@ -202,6 +202,8 @@
 	stopping    func() bool
 	compressor  *rowCompressor
 	grpc        *grpc.Server
+	// tasks holds the stage tasks of other daemons that wait or run here.
+	tasks taskSet
 }
 
 // NewServer returns a server. It refuses tasks while stopping returns true.
@@ -264,6 +266,7 @@
 			_ = replies.Send(&fleetpb.TaskReply{Started: true})
 		}()
 	}
+	defer s.tasks.add(t)()
 	results, err := s.coordinator.Submit(replies.Context(), group, t)
 	reply := &fleetpb.TaskReply{Results: resultsToPB(results)}
 	if err != nil {
--- a/internal/adapter/telemetry/clients.go
+++ b/internal/adapter/telemetry/clients.go
@@ -35,12 +35,18 @@
 	}
 }
 
+// CallersListener is the name of the listener for callers' requests.
+const CallersListener = "callers"
+
 // ClientsRefused reports how many clients of a listener were refused for each reason since
 // the last call. It writes one line, however many there are.
 func (h *HostedRecorder) ClientsRefused(listener string, byReason map[string]int, connections int, held [clients.Kinds]int64) {
 	if len(byReason) == 0 {
 		return
 	}
+	if listener == CallersListener {
+		h.stop.addUnread(byReason)
+	}
 	line := h.log.Warn().Str("listener", listener).Int("connections", connections)
 	for kind, n := range held {
 		line = line.Int64(clients.Kind(kind).String()+"_bytes", n)
--- a/internal/adapter/telemetry/hosted.go
+++ b/internal/adapter/telemetry/hosted.go
@@ -50,6 +50,7 @@
 	// times that cannot be read.
 	coldEndpoints, unreadableCold *rate.Limiter
 	clients                       *clientGauges
+	stop                          *stopTally
 
 	mu sync.Mutex
 	// reported holds the conditions that were last logged as present.
@@ -64,7 +65,7 @@
 // the next second are sampled.
 func NewHostedRecorder(log zerolog.Logger, set *metrics.Set, linesPerSecond int) *HostedRecorder {
 	h := &HostedRecorder{log: log, set: set, requests: NewRequestRecorder(set, log), linesPerSecond: int64(linesPerSecond), unreadableLimits: rate.NewLimiter(1, 1),
-		coldEndpoints: rate.NewLimiter(20, 100), unreadableCold: rate.NewLimiter(1, 1), clients: newClientGauges(set), reported: map[string]bool{}}
+		coldEndpoints: rate.NewLimiter(20, 100), unreadableCold: rate.NewLimiter(1, 1), clients: newClientGauges(set), stop: newStopTally(linesPerSecond), reported: map[string]bool{}}
 	h.sampleShare.Store(sampleScale)
 	return h
 }
@@ -181,7 +182,8 @@
 	late := lateFirst || latePause
 	// Any number of requests may come that no configuration allows.
 	refusedCaller := o.Err != nil && (e.Kind == core.NotFound || e.Kind == core.Unauthorized)
-	if !h.sampled(o.Request.ID) && (o.Err == nil && !late || refusedCaller) {
+	stopAge, stopping := h.recordStopOutcome(o, &e)
+	if !h.sampled(o.Request.ID) && (o.Err == nil && !late && !o.Cut || refusedCaller) && !(stopping && h.stop.endLines.Allow()) {
 		return
 	}
 	ev := h.log.Info()
@@ -192,6 +194,9 @@
 		Str("outcome", outcome).Int("status", o.Status).Str("endpoint", string(o.Endpoint)).Int("attempts", o.Attempts).Str("framing", o.Framing).
 		Int64("stages_ms", o.StageTime.Milliseconds()).Int64("first_byte_ms", o.FirstByte.Milliseconds()).Int64("longest_gap_ms", o.LongestGap.Milliseconds()).Int64("total_ms", o.Total.Milliseconds()).
 		Bool("late", late).Bool("late_first", lateFirst).Bool("late_pause", latePause).Int("heaps", o.EventBursts).Int("prompt_tokens", o.Request.PromptTokens).Ints("pieces", o.Request.PieceCounts).Int64("config", o.ConfigVersion)
+	if stopping {
+		ev = ev.Int64("stop_ms", stopAge.Milliseconds()).Stringer("phase", o.Phase)
+	}
 	if o.Err != nil {
 		ev = ev.Str("step", e.Step).Str("peer", e.Peer).Stringer("ran", e.Ran).Int64("retry_after_ms", e.RetryAfter.Milliseconds()).
 			Str("detail", e.Detail).AnErr("cause", e.Err)
--- a/internal/app/forward/answer.go
+++ b/internal/app/forward/answer.go
@@ -127,6 +127,7 @@
 		w.Header()[k] = v
 	}
 	w.Header().Set("Content-Length", strconv.Itoa(len(body)))
+	rs.req.InProgress.Enter(PhaseStream)
 	rs.outcome.Status = a.Status
 	rs.outcome.FirstByte = f.now().Sub(rs.req.Arrived)
 	w.WriteHeader(a.Status)
@@ -145,6 +146,7 @@
 	if a.Length >= 0 {
 		w.Header().Set("Content-Length", strconv.FormatInt(a.Length, 10))
 	}
+	rs.req.InProgress.Enter(PhaseStream)
 	rs.answerStarted, rs.outcome.Status, rs.outcome.FirstByte = true, a.Status, f.now().Sub(rs.req.Arrived)
 	rs.releaseBody()
 	w.WriteHeader(a.Status)
--- a/internal/app/forward/attempt.go
+++ b/internal/app/forward/attempt.go
@@ -70,6 +70,7 @@
 	s := &streamRelay{forwarder: f, state: rs, w: w, tried: tried}
 	s.mayMove = func(ctx context.Context) bool { return f.mayMove(ctx, s) }
 	for try := 1; try <= maxTries; try++ {
+		rs.enterAttempt()
 		if err := f.partsError(rs); err != nil {
 			if !rs.mayHaveRun {
 				lastErr = err
@@ -137,6 +138,15 @@
 	return f.finalError(ctx, rs, lastErr), false
 }
 
+// enterAttempt sets the phase of a request that is about to be sent to an endpoint.
+func (rs *requestState) enterAttempt() {
+	if rs.answerStarted {
+		rs.req.InProgress.Enter(PhaseStream)
+		return
+	}
+	rs.req.InProgress.Enter(PhaseFirstEvent)
+}
+
 // explainChoice describes the choice of the first of the candidates.
 func (f *Forwarder) explainChoice(candidates []placement.Candidate) Choice {
 	c := Choice{Endpoint: candidates[0].Endpoint, Running: candidates[0].Running, PrefillTokens: candidates[0].PrefillTokens, AffinityRank: candidates[0].AffinityRank, UncachedTokens: candidates[0].UncachedTokens, Candidates: len(candidates)}
--- a/internal/app/forward/forward.go
+++ b/internal/app/forward/forward.go
@@ -225,11 +225,19 @@
 func (f *Forwarder) Serve(callerCtx context.Context, r *Request, w http.ResponseWriter) (err *core.Error, cut bool) {
 	f.active.Add(1)
 	defer f.active.Add(-1)
+	if r.InProgress == nil {
+		r.InProgress = &InProgress{ID: r.ID, Arrived: r.Arrived}
+	}
+	r.InProgress.Enter(PhaseAdmission)
 	rs := &requestState{req: r, outcome: Outcome{Request: r}}
 	defer func() {
 		rs.outcome.Route, rs.outcome.Pool, rs.outcome.Account, rs.outcome.Rank = rs.route, rs.pool, rs.account, rs.rank
 		rs.outcome.Total = f.now().Sub(r.Arrived)
-		rs.outcome.Err, rs.outcome.Cut = err, cut
+		rs.outcome.Err, rs.outcome.Cut = err, cut || rs.outcome.Cut
+		if err == nil && !rs.outcome.Cut {
+			r.InProgress.Enter(PhaseDone)
+		}
+		rs.outcome.Phase = r.InProgress.Phase()
 		rs.outcome.CallerLeft = callerCtx.Err() != nil && context.Cause(callerCtx) != ErrStopping
 		f.events.RequestEnded(&rs.outcome)
 	}()
@@ -285,6 +293,7 @@
 		timeout = min(timeout, t)
 	}
 	rs.deadline = r.Arrived.Add(timeout)
+	r.InProgress.limit.Store(int64(timeout))
 	rs.targetStart, rs.startDeadline = rs.deadline, rs.deadline
 	if p := rs.route.CallerPatience; p > 0 && p < timeout {
 		rs.startDeadline = r.Arrived.Add(p)
@@ -418,6 +427,7 @@
 // lost on the way, it runs all stages once more, provided that the time suffices.
 func (f *Forwarder) runStagesWithRetry(ctx context.Context, rs *requestState) error {
 	rs.stageRuns++
+	rs.req.InProgress.Enter(PhaseStages)
 	// The time left after the stages must suffice for the request itself. A caller
 	// that cannot be served in time gets the error before it leaves.
 	ctx, cancel := context.WithDeadline(ctx, rs.stagesDeadline)
--- a/internal/app/forward/ports.go
+++ b/internal/app/forward/ports.go
@@ -33,9 +33,11 @@
 	Header http.Header
 	Body   []byte
 	// Hold accounts for the memory of Body; nil if it is not counted.
-	Hold    *holding.Hold
-	APIKey  string
-	Arrived time.Time
+	Hold *holding.Hold
+	// InProgress holds the request's phase; nil for a request that is not listed.
+	InProgress *InProgress
+	APIKey     string
+	Arrived    time.Time
 	// Timeout is how long the caller waits for the whole answer, counted from
 	// Arrived; 0 if the caller sets no limit.
 	Timeout time.Duration
@@ -230,6 +232,8 @@
 	CallerLeft bool
 	// Cut is true if the answer was started but not completed.
 	Cut bool
+	// Phase is the phase in which the request ended: PhaseDone if it was answered whole.
+	Phase Phase
 	// Framing is that of the last answer that an endpoint began, empty if none did.
 	Framing string
 	Err     *core.Error
--- a/internal/edge/clientconn.go
+++ b/internal/edge/clientconn.go
@@ -48,6 +48,7 @@
 	closing bool
 	// answered is set once a request on the connection was answered.
 	answered bool
+	use      connUse
 }
 
 // Read implements net.Conn.
@@ -59,6 +60,7 @@
 	if n == 0 && c.isClosing() {
 		n, err = c.readArrived(b)
 	}
+	c.noteRead(err)
 	if n == 0 {
 		return n, err
 	}
@@ -187,7 +189,9 @@
 func (c *clientConn) Write(b []byte) (int, error) {
 	c.setWriting(c.set.clock.now())
 	defer c.setWriting(0)
-	return c.Conn.Write(b)
+	n, err := c.Conn.Write(b)
+	c.noteWrite(err)
+	return n, err
 }
 
 func (c *clientConn) setWriting(since time.Duration) {
@@ -217,10 +221,12 @@
 	c.mu.Lock()
 	first, hold := !c.closed, c.headHold
 	c.closed, c.headHold = true, nil
+	closing := c.describeClose()
 	c.mu.Unlock()
 	if first {
 		hold.Release()
 		c.set.remove(c)
+		c.set.reportClose(closing)
 	}
 	return c.Conn.Close()
 }
@@ -256,6 +262,7 @@
 	c.state.Phase, c.state.Since, c.state.LastByte = phase, now, now
 	if phase == clients.Idle {
 		c.answered = true
+		c.use.request = nil
 		c.closing = c.set.stopping.Load()
 	}
 	hold := c.headHold
--- a/internal/edge/clientconns.go
+++ b/internal/edge/clientconns.go
@@ -40,13 +40,15 @@
 // interval: what clients sent during the pause has not been read yet.
 type runClock struct {
 	ran atomic.Int64
-	// last is when advance was last called.
-	last time.Time
+	// last is when advance was last called, late how late that was.
+	last atomic.Pointer[time.Time]
+	late atomic.Int64
 }
 
 // newRunClock returns a clock that starts above 0, which stands for no time.
 func newRunClock() *runClock {
-	r := &runClock{last: time.Now()}
+	r, now := &runClock{}, time.Now()
+	r.last.Store(&now)
 	r.ran.Store(int64(sweepInterval))
 	return r
 }
@@ -56,8 +58,10 @@
 // advance adds the time since the last call, which ought to be sweepInterval. Only one
 // goroutine may call it.
 func (r *runClock) advance(now time.Time) {
-	r.ran.Add(int64(min(now.Sub(r.last), 2*sweepInterval)))
-	r.last = now
+	passed := now.Sub(*r.last.Load())
+	r.ran.Add(int64(min(passed, 2*sweepInterval)))
+	r.late.Store(int64(max(passed-sweepInterval, 0)))
+	r.last.Store(&now)
 }
 
 // clientListener is a listener whose connections a clientConns bounds.
@@ -77,6 +81,10 @@
 	memory *holding.Memory
 	// stopping is set once connections are closed after the answer in progress.
 	stopping atomic.Bool
+	// cutting is set once a stopping daemon ends the requests that are still in progress.
+	cutting atomic.Bool
+	// closed is called with each connection that was closed. It may be nil.
+	closed func(connClose)
 
 	mu       sync.Mutex
 	conns    map[*clientConn]struct{}
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -63,6 +63,8 @@
 	coordinator *stagework.Coordinator
 	stageClient *stagework.Client
 	forward     *forward.Forwarder
+	progress    forward.Progress
+	stopReport  *stopReport
 	store       *platform.Store
 	budgets     *repeatBudgets
 	fleetSize   fleetSize
@@ -299,6 +301,7 @@
 	callers := sockets.callerServer(requests)
 	ready := &http.Server{Handler: platform.ReadyHandler(d.ready), ConnState: connStateHook}
 	rpc := fleetrpc.NewServer(d.fleet, []*mirror.Table{d.configTable, d.endpointTable, d.daemonTable}, d.coordinator, d.limits, time.Now, d.stopping.Load)
+	d.stopReport = &stopReport{daemon: d, sockets: sockets, peers: rpc}
 	defer func() {
 		rpc.Stop()
 		ready.Close()
--- a/internal/edge/lifecycle.go
+++ b/internal/edge/lifecycle.go
@@ -80,9 +80,9 @@
 	began := time.Now()
 	d.stopping.Store(true)
 	d.fleet.Leave()
-	d.log.Info().Int("in_progress", d.forward.Active()).Msg("stopping")
-	callers.announceStop()
 	end := began.Add(seconds(d.settings.StopWithinS) - killMargin)
+	defer d.stopReport.begin(began, end)()
+	callers.announceStop()
 	d.stopsAt.Store(&end)
 	ctx, cancel := context.WithDeadline(context.Background(), end)
 	defer cancel()
@@ -94,6 +94,7 @@
 	linger(ctx, lingerTime, time.Now, time.Sleep)
 	if err := callers.finish(ctx); err != nil {
 		d.log.Warn().Int("in_progress", d.forward.Active()).Err(err).Msg("requests_cut")
+		callers.conns.cutting.Store(true)
 		abortRequests(forward.ErrStopping)
 		aborted, cancel := context.WithTimeout(context.Background(), abortTime)
 		defer cancel()
@@ -103,7 +104,6 @@
 			_ = callers.Close()
 		}
 	}
-	d.log.Info().Int64("took_ms", time.Since(began).Milliseconds()).Msg("stopped")
 }
 
 // linger waits until the process has run for d or ctx has ended. Time in which the
--- a/internal/edge/sockets.go
+++ b/internal/edge/sockets.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"time"
 
+	"eelgrassgrade/internal/adapter/telemetry"
 	"eelgrassgrade/internal/decide/catalog"
 	"eelgrassgrade/internal/decide/clients"
 	"eelgrassgrade/platform"
@@ -36,7 +37,7 @@
 func (d *Daemon) newSockets() *sockets {
 	s := &sockets{daemon: d, clock: newRunClock()}
 	s.callers = &clientConns{max: d.settings.ClientLimits.Connections, clock: s.clock, limits: d.callerLimits, times: d.callerTimes, memory: d.memory,
-		conns: map[*clientConn]struct{}{}, refusals: map[string]int{}}
+		closed: d.reportClosed, conns: map[*clientConn]struct{}{}, refusals: map[string]int{}}
 	s.control = &clientConns{max: maxControlConns, clock: s.clock, limits: func() catalog.Limits { return defaultLimits }, times: d.callerTimes,
 		conns: map[*clientConn]struct{}{}, refusals: map[string]int{}}
 	return s
@@ -54,7 +55,7 @@
 // callerServer returns the server for callers. Its requests have the context base.
 func (s *sockets) callerServer(base context.Context) *callerServer {
 	d := s.daemon
-	handler := &platform.CallerHandler{Service: d.forward, Limits: d.callerLimits, Memory: d.memory, Rank: d.forward.Rank, Refused: s.callers.refused, Now: time.Now}
+	handler := &platform.CallerHandler{Service: d.forward, Limits: d.callerLimits, Memory: d.memory, Rank: d.forward.Rank, Refused: s.callers.refused, Progress: &d.progress, Now: time.Now}
 	server := &http.Server{BaseContext: func(net.Listener) context.Context { return base }, Handler: handler, MaxHeaderBytes: maxHeaderBytes,
 		// Otherwise net/http answers OPTIONS * itself, with a success that no endpoint gave.
 		DisableGeneralOptionsHandler: true,
@@ -84,10 +85,10 @@
 
 // report reports what clients hold and which were refused.
 func (s *sockets) report() {
-	held, telemetry := s.daemon.memory.Held(), s.daemon.telemetry
-	telemetry.ClientsHold(s.callers.count(), held)
-	telemetry.ClientsRefused("callers", s.callers.takeRefusals(), s.callers.count(), held)
-	telemetry.ClientsRefused("control", s.control.takeRefusals(), s.control.count(), held)
+	held, recorder := s.daemon.memory.Held(), s.daemon.telemetry
+	recorder.ClientsHold(s.callers.count(), held)
+	recorder.ClientsRefused(telemetry.CallersListener, s.callers.takeRefusals(), s.callers.count(), held)
+	recorder.ClientsRefused("control", s.control.takeRefusals(), s.control.count(), held)
 }
 
 // run keeps the connections within their times until ctx ends.
