--- a/internal/edge/clientconn.go
+++ b/internal/edge/clientconn.go
@@ -42,11 +42,13 @@
 	// read is refused, any other connection is closed.
 	overdue bool
 	closed  bool
+	use     connUse
 }
 
 // Read implements net.Conn.
 func (c *clientConn) Read(b []byte) (int, error) {
 	n, err := c.Conn.Read(b)
+	c.noteRead(err)
 	if n == 0 {
 		return n, err
 	}
@@ -124,7 +126,9 @@
 func (c *clientConn) Write(b []byte) (int, error) {
 	c.setWriting(c.set.clock.now())
 	defer c.setWriting(0)
-	return c.Conn.Write(b)
+	n, err := c.Conn.Write(b)
+	c.noteWrite(err)
+	return n, err
 }
 
 func (c *clientConn) setWriting(since time.Duration) {
@@ -157,10 +161,12 @@
 	c.mu.Lock()
 	first, hold := !c.closed, c.headHold
 	c.closed, c.headHold = true, nil
+	closing := c.describeClose()
 	c.mu.Unlock()
 	if first {
 		hold.Release()
 		c.set.remove(c)
+		c.set.reportClose(closing)
 	}
 	return c.Conn.Close()
 }
@@ -194,6 +200,9 @@
 	c.mu.Lock()
 	now := c.set.clock.now()
 	c.state.Phase, c.state.Since, c.state.LastByte = phase, now, now
+	if phase == clients.Idle {
+		c.use.request = nil
+	}
 	hold := c.headHold
 	c.headHold = nil
 	c.mu.Unlock()
--- a/internal/edge/clientconns.go
+++ b/internal/edge/clientconns.go
@@ -75,6 +75,10 @@
 	times  func() clients.Times
 	// memory is the account for heads; nil for none.
 	memory *holding.Memory
+	// cutting is set once a stopping daemon ends the requests that are still in progress.
+	cutting atomic.Bool
+	// closed is called with each connection that was closed. It may be nil.
+	closed func(connClose)
 
 	mu       sync.Mutex
 	conns    map[*clientConn]struct{}
--- a/internal/edge/lifecycle.go
+++ b/internal/edge/lifecycle.go
@@ -84,7 +84,7 @@
 	delay := d.delays.delay(began)
 	end := stopEnd(began, delay, seconds(d.settings.StopWithinS))
 	d.stopsAt.Store(&end)
-	d.log.Info().Int("in_progress", d.forward.Active()).Int64("present_delay_ms", delay.present.Milliseconds()).Int64("usual_delay_ms", delay.usual.Milliseconds()).Int64("ends_in_ms", end.Sub(began).Milliseconds()).Msg("stopping")
+	defer d.stopReport.begin(began, end, delay)()
 	callers.AnnounceStop()
 	ctx, cancel := context.WithDeadline(context.Background(), end)
 	defer cancel()
@@ -96,6 +96,7 @@
 	linger(ctx, lingerTime, time.Now, time.Sleep)
 	if err := callers.Finish(ctx); err != nil {
 		d.log.Warn().Int("in_progress", d.forward.Active()).Err(err).Msg("requests_cut")
+		d.stopReport.sockets.callers.cutting.Store(true)
 		abortRequests(forward.ErrStopping)
 		aborted, cancel := context.WithTimeout(context.Background(), abortTime)
 		defer cancel()
@@ -105,7 +106,6 @@
 			_ = callers.Close()
 		}
 	}
-	d.log.Info().Int64("took_ms", time.Since(began).Milliseconds()).Msg("stopped")
 }
 
 // linger waits until the process has run for d or ctx has ended. Time in which the
