forward: ask for more certainty the later a stopping daemon is asked

Callers whose request was read late in a planned stop saw it taken, sent to an endpoint and cut at the end of the stop. One that may not be repeated was left unknown.

Cause: a stopping daemon compared the rest of its stop with an average and its deviation. A daemon that has just started has none and took every request until 1.5 s before the end; an average that is old, or of answers of two kinds, hides the long ones. A body that arrives over seconds, a pause of the process or a wait for stages brings requests seconds after the load balancer has noticed.

Change: package decide/shutdown. A request that certainly ends before the stop by its own time is taken, and one that has lost its answer without another try. In the first 3 s others are taken if they are expected to end in time, as before; a refusal there would cost all these callers their retry. Later they need 20 answers in the last 15 to 30 s, the latest 3 s ago at most, and one and a half times the longest of them, or of those in progress, must fit. The check comes after the route is known, so that it can ask for the request's time. A daemon that does not stop decides as before (TestDecide).

--- a/internal/app/forward/answer.go
+++ b/internal/app/forward/answer.go
@@ -72,6 +72,7 @@
 			return f.retryFailedAnswer(ctx, rs, w, a, body)
 		}
 	}
+	f.inProgress.ended(rs.route.Name, f.now(), f.now().Sub(startTime))
 	f.latencies.observeWholeAnswer(rs.route.Name, f.now().Sub(startTime))
 	if ok {
 		f.contents.RecordSuccess(rs.fingerprint)
@@ -145,6 +146,7 @@
 	if a.Length >= 0 {
 		w.Header().Set("Content-Length", strconv.FormatInt(a.Length, 10))
 	}
+	f.inProgress.answering(rs)
 	rs.answerStarted, rs.outcome.Status, rs.outcome.FirstByte = true, a.Status, f.now().Sub(rs.req.Arrived)
 	rs.releaseBody()
 	w.WriteHeader(a.Status)
--- a/internal/app/forward/attempt.go
+++ b/internal/app/forward/attempt.go
@@ -76,8 +76,10 @@
 			}
 			break
 		}
-		if err := f.stopError(f.expectedAnswerTime(rs.route)); err != nil && !rs.mayHaveRun {
-			lastErr = err
+		if err := f.stopError(rs, rs.retryState(), 0); err != nil {
+			if !rs.mayHaveRun {
+				lastErr = err
+			}
 			break
 		}
 		candidates := f.pickOrWait(ctx, rs, tried)
@@ -106,6 +108,7 @@
 			rs.mayHaveRun = true
 			s.possibleRuns++
 		}
+		f.inProgress.failed(rs)
 		moves := s.moves
 		if moves {
 			s.left = e.ID
@@ -191,6 +194,7 @@
 // tryEndpoint sends a request to one endpoint and relays its answer.
 func (f *Forwarder) tryEndpoint(ctx context.Context, rs *requestState, c placement.Candidate, s *streamRelay) error {
 	startTime, e := f.now(), c.Endpoint
+	f.inProgress.sent(rs, startTime)
 	rs.sentTo, rs.endpointRun = e, quarantine.RunOf(e.ID, f.view().ByID[e.ID].StartedMs)
 	markFirstEvent, markEnd := f.tracker.requestStarted(rs.pool, e.ID, c.UncachedTokens)
 	defer markEnd()
@@ -230,6 +234,7 @@
 			return f.recordBrokenAnswer(ctx, rs, e, a, startTime, firstEventAt, err)
 		}
 		if !resumed && !firstEventAt.IsZero() {
+			f.inProgress.ended(rs.route.Name, f.now(), f.now().Sub(startTime))
 			f.latencies.observeStreamDuration(rs.route.Name, f.now().Sub(firstEventAt))
 		}
 		f.contents.RecordSuccess(rs.fingerprint)
--- a/internal/app/forward/cold.go
+++ b/internal/app/forward/cold.go
@@ -90,7 +90,7 @@
 // if it may not, or if the request ends meanwhile.
 func (f *Forwarder) waitForCold(ctx context.Context, rs *requestState) bool {
 	left, limited := f.poolClosedFor(rs)
-	if !limited || !f.poolHasCold(rs) || !rs.mayHaveRun && f.stopError(left+f.expectedAnswerTime(rs.route)) != nil {
+	if !limited || !f.poolHasCold(rs) || f.stopError(rs, rs.retryState(), left) != nil {
 		return false
 	}
 	waits := false
--- a/internal/app/forward/fake_test.go
+++ b/internal/app/forward/fake_test.go
@@ -20,6 +20,7 @@
 	"eelgrassgrade/internal/decide/catalog"
 	"eelgrassgrade/internal/decide/quarantine"
 	"eelgrassgrade/internal/decide/repeats"
+	"eelgrassgrade/internal/decide/shutdown"
 )
 
 // endpointBehavior is what a fake endpoint does with a request.
@@ -64,8 +65,9 @@
 	// stageTime is the time that each stage takes, at least 100 ms.
 	stageTime      time.Duration
 	retriesAllowed bool
-	// stopsAt is when the daemon ends; zero if it is not stopping.
-	stopsAt time.Time
+	// stopsAt is when the daemon ends; zero if it is not stopping. stopBegan is when its stop
+	// began; without it callers have not heard of the stop.
+	stopsAt, stopBegan time.Time
 	// pauseEnds holds the ends of the pauses that endpoints have asked for.
 	pauseEnds map[core.InstanceID]time.Time
 	// limits holds the endpoints that name a limit.
@@ -126,12 +128,20 @@
 			t.Fatal(err)
 		}
 		p.forwarder = New(Options{Catalog: func() *catalog.Snapshot { return p.snapshot }, View: func() *endpoints.View { return p.view },
-			Fleet: func() *fleet.View { return &fleet.View{} }, Endpoints: p, Stages: p, PausedUntil: p.pausedUntil, Limits: p, Budget: p, Events: discardEvents{}, Now: time.Now, StopsAt: func() time.Time { return p.stopsAt }})
+			Fleet: func() *fleet.View { return &fleet.View{} }, Endpoints: p, Stages: p, PausedUntil: p.pausedUntil, Limits: p, Budget: p, Events: discardEvents{}, Now: time.Now, Stop: p.stop})
 		p.forwarder.SetEndpoints(p.view)
 		f(p)
 	})
 }
 
+func (p *fakePlatform) stop() shutdown.Stop {
+	began := p.stopBegan
+	if began.IsZero() {
+		began = p.stopsAt
+	}
+	return shutdown.Stop{Began: began, End: p.stopsAt}
+}
+
 // Limit implements Limits.
 func (p *fakePlatform) Limit(e endpoints.Entry) (float64, time.Duration, bool) {
 	l := p.limits[e.ID]
--- a/internal/app/forward/forward.go
+++ b/internal/app/forward/forward.go
@@ -16,16 +16,11 @@
 	"eelgrassgrade/internal/core"
 	"eelgrassgrade/internal/decide/catalog"
 	"eelgrassgrade/internal/decide/quarantine"
+	"eelgrassgrade/internal/decide/shutdown"
 )
 
-const (
-	// minTimeBeforeStop is the time before the end of a stopping daemon from which on it
-	// refuses requests, since it could cut their answers. The load balancer has long
-	// noticed the stop by then, unless the daemon was paused.
-	minTimeBeforeStop = 1500 * time.Millisecond
-	// defaultTimeout bounds a request if its caller sets no timeout.
-	defaultTimeout = 30 * time.Second
-)
+// defaultTimeout bounds a request if its caller sets no timeout.
+const defaultTimeout = 30 * time.Second
 
 // ErrStopping is the cause with which the contexts of requests are cancelled that are still
 // in progress when a stopping daemon ends.
@@ -48,7 +43,8 @@
 	contents    *quarantine.Contents
 	parts       *quarantine.PartSet
 	self        core.InstanceID
-	stopsAt     func() time.Time
+	stop        func() shutdown.Stop
+	inProgress  requestsInProgress
 	latencies   *routeLatencies
 	overloads   *overloadTracker
 	cold        coldPools
@@ -82,9 +78,9 @@
 	// Memory is the account of what requests hold; nil for no bound.
 	Memory *holding.Memory
 	Now    func() time.Time
-	// StopsAt returns the time at which this daemon ends if it is stopping, or the zero
-	// time. It may be nil.
-	StopsAt func() time.Time
+	// Stop returns the stop of this daemon if it is stopping, or the zero value. It may be
+	// nil.
+	Stop func() shutdown.Stop
 	// RegionOf returns the region of a data centre, or "" if it is not known. It may be
 	// nil if no request is restricted to regions.
 	RegionOf func(core.DataCenterID) core.RegionID
@@ -103,8 +99,8 @@
 	if o.Announce == nil {
 		o.Announce = func(fleet.Prefill) {}
 	}
-	if o.StopsAt == nil {
-		o.StopsAt = func() time.Time { return time.Time{} }
+	if o.Stop == nil {
+		o.Stop = func() shutdown.Stop { return shutdown.Stop{} }
 	}
 	if o.RegionOf == nil {
 		o.RegionOf = func(core.DataCenterID) core.RegionID { return "" }
@@ -122,7 +118,7 @@
 		events:      o.Events,
 		now:         o.Now,
 		announce:    o.Announce,
-		stopsAt:     o.StopsAt,
+		stop:        o.Stop,
 		regionOf:    o.RegionOf,
 		memory:      o.Memory,
 		levelAbove:  o.LevelAbove,
@@ -236,6 +232,8 @@
 	if err := f.resolve(rs); err != nil {
 		return err, false
 	}
+	f.inProgress.add(rs)
+	defer f.inProgress.remove(rs)
 	ctx, cancel := context.WithDeadline(callerCtx, rs.deadline)
 	defer cancel()
 	if err := f.admitAndRunStages(ctx, rs); err != nil {
@@ -250,10 +248,6 @@
 // an error if the request cannot be served or has crashed endpoints.
 func (f *Forwarder) resolve(rs *requestState) *core.Error {
 	r := rs.req
-	if err := f.stopError(0); err != nil {
-		err.RetryAfter = jitteredRetryAfter(err.RetryAfter)
-		return err
-	}
 	rs.snapshot = f.catalog()
 	if rs.snapshot == nil {
 		return &core.Error{Kind: core.Unavailable, Step: "route", Ran: core.RanNot, RetryAfter: jitteredRetryAfter(500 * time.Millisecond), Detail: "the daemon has not loaded a configuration yet"}
@@ -292,6 +286,10 @@
 	if t := rs.route.LatencyTarget; t > 0 && t < timeout {
 		rs.targetStart = r.Arrived.Add(t)
 	}
+	if err := f.stopError(rs, shutdown.NotRun, 0); err != nil {
+		err.RetryAfter = jitteredRetryAfter(err.RetryAfter)
+		return err
+	}
 	rs.fingerprint, rs.parts = fingerprint(r, rs.account), sharedParts(rs.pool, r.Prompt)
 	return f.checkQuarantine(rs)
 }
@@ -319,16 +317,6 @@
 	return account.ID, combinedRank(0, route.Priority)
 }
 
-// stopError returns an error if the daemon is stopping and ends before an answer that
-// takes the given time can be expected, or within minTimeBeforeStop.
-func (f *Forwarder) stopError(expected time.Duration) *core.Error {
-	end := f.stopsAt()
-	if end.IsZero() || end.Sub(f.now()) >= max(expected, minTimeBeforeStop) {
-		return nil
-	}
-	return &core.Error{Kind: core.Unavailable, Step: "stop", Ran: core.RanNot, RetryAfter: minRetryAfter, Detail: "the daemon is about to end"}
-}
-
 // expectedAnswerTime returns a time within which nearly all answers of the route are
 // complete, counted from when they are sent to an endpoint.
 func (f *Forwarder) expectedAnswerTime(route *catalog.Route) time.Duration {
@@ -387,7 +375,7 @@
 			Detail: fmt.Sprintf("the queues of the stages are too long: the answer is expected to start in %d ms (%d ms without queueing), the time left is %d ms until the limit and %d ms until the target",
 				rs.plan.expectedTime.Milliseconds(), rs.plan.unqueuedTime.Milliseconds(), timeLeft.Milliseconds(), rs.targetStart.Sub(now).Milliseconds())}
 	}
-	if err := f.stopError(rs.plan.expectedTime - rs.plan.firstEventTime + f.expectedAnswerTime(rs.route)); err != nil {
+	if err := f.stopError(rs, shutdown.NotRun, rs.plan.stagesTime()); err != nil {
 		return err
 	}
 	if err := f.reservePermit(ctx, rs); err != nil {
--- a/internal/app/forward/move.go
+++ b/internal/app/forward/move.go
@@ -8,6 +8,7 @@
 	"eelgrassgrade/internal/decide/health"
 	"eelgrassgrade/internal/decide/placement"
 	"eelgrassgrade/internal/decide/repeats"
+	"eelgrassgrade/internal/decide/shutdown"
 )
 
 // stallRecheck is the time after which a stalled stream that may not go on elsewhere looks
@@ -65,9 +66,9 @@
 		if rs.stageRuns > 1 {
 			return false
 		}
-		needed, stages = rs.plan.expectedTime, rs.plan.expectedTime-rs.plan.firstEventTime
+		needed, stages = rs.plan.expectedTime, rs.plan.stagesTime()
 	}
-	if f.stopError(stages+f.expectedAnswerTime(rs.route)) != nil {
+	if f.stopError(rs, shutdown.Moving, stages) != nil {
 		return false
 	}
 	return f.now().Add(max(needed, minRemaining)).Before(rs.deadline)
--- a/internal/app/forward/plan.go
+++ b/internal/app/forward/plan.go
@@ -80,6 +80,9 @@
 	return p
 }
 
+// stagesTime returns the expected time until the stages are done.
+func (p *plan) stagesTime() time.Duration { return p.expectedTime - p.firstEventTime }
+
 // expectedCallTime returns the expected time of a call with as many of a stage's pieces
 // as fit, or 0 if there are no pieces or the pool does no batching.
 func expectedCallTime(s *catalog.Snapshot, st catalog.Stage, pieces int) time.Duration {
--- a/internal/app/forward/stop_test.go
+++ b/internal/app/forward/stop_test.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"eelgrassgrade/internal/core"
+	"eelgrassgrade/internal/decide/shutdown"
 )
 
 // Guards against a stopping daemon that accepts a request shortly before it ends, after
@@ -14,7 +15,7 @@
 	for _, c := range []struct {
 		left    time.Duration
 		refused bool
-	}{{5 * time.Second, false}, {minTimeBeforeStop, false}, {minTimeBeforeStop - time.Millisecond, true}, {-time.Second, true}} {
+	}{{5 * time.Second, false}, {shutdown.MinLeft, false}, {shutdown.MinLeft - time.Millisecond, true}, {-time.Second, true}} {
 		withFakePlatform(t, 1, func(p *fakePlatform) {
 			p.respond = func(core.Endpoint, *EndpointRequest, int) endpointBehavior {
 				return endpointBehavior{body: "id: 1\ndata: x\n\n"}
--- /dev/null
+++ b/internal/app/forward/stopping.go
@@ -0,0 +1,148 @@
+package forward
+
+import (
+	"fmt"
+	"sync"
+	"time"
+
+	"eelgrassgrade/internal/core"
+	"eelgrassgrade/internal/decide/catalog"
+	"eelgrassgrade/internal/decide/shutdown"
+)
+
+// requestsInProgress holds the requests in progress with their states, and the times of the
+// answers that have ended by route, from sending a request to the end of its answer.
+type requestsInProgress struct {
+	mu       sync.Mutex
+	requests map[*requestState]*progress
+	times    map[string]*shutdown.Times
+}
+
+type progress struct {
+	state shutdown.State
+	// sentAt is when the request was last sent to an endpoint.
+	sentAt time.Time
+}
+
+// add adds a request whose route is known.
+func (p *requestsInProgress) add(rs *requestState) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.requests == nil {
+		p.requests = map[*requestState]*progress{}
+	}
+	p.requests[rs] = &progress{}
+}
+
+func (p *requestsInProgress) remove(rs *requestState) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	delete(p.requests, rs)
+}
+
+// sent records that a request is about to be sent.
+func (p *requestsInProgress) sent(rs *requestState, now time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	r := p.requests[rs]
+	r.sentAt, r.state = now, shutdown.Unanswered
+	if rs.answerStarted {
+		r.state = shutdown.Answering
+	}
+}
+
+// answering records that the caller gets an answer.
+func (p *requestsInProgress) answering(rs *requestState) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if r := p.requests[rs]; r != nil {
+		r.state = shutdown.Answering
+	}
+}
+
+// failed records that a request has failed at an endpoint.
+func (p *requestsInProgress) failed(rs *requestState) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	r := p.requests[rs]
+	switch {
+	case rs.answerStarted:
+		r.state = shutdown.Answering
+	case rs.mayHaveRun:
+		r.state = shutdown.Begun
+	default:
+		r.state = shutdown.NotRun
+	}
+}
+
+// ended records the time of an answer that has ended.
+func (p *requestsInProgress) ended(route string, now time.Time, d time.Duration) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	t := p.times[route]
+	if t == nil {
+		if len(p.times) >= maxTrackedRoutes {
+			return
+		}
+		if p.times == nil {
+			p.times = map[string]*shutdown.Times{}
+		}
+		t = &shutdown.Times{}
+		p.times[route] = t
+	}
+	t.Observe(now, d)
+}
+
+// evidence returns what is known of the answers of a route: those that have ended lately,
+// and how long the oldest one has been in progress. p.mu is held.
+func (p *requestsInProgress) evidence(route string, now time.Time) shutdown.Estimate {
+	var e shutdown.Estimate
+	if t := p.times[route]; t != nil {
+		e = t.Estimate(now)
+	}
+	for rs, r := range p.requests {
+		if rs.route.Name == route && (r.state == shutdown.Unanswered || r.state == shutdown.Answering) {
+			e.Longest = max(e.Longest, now.Sub(r.sentAt))
+		}
+	}
+	return e
+}
+
+// estimate returns the estimate of a route's answers. f.inProgress.mu is held.
+func (f *Forwarder) estimate(route *catalog.Route, now time.Time) shutdown.Estimate {
+	e := f.inProgress.evidence(route.Name, now)
+	e.Expected = f.expectedAnswerTime(route)
+	return e
+}
+
+// stopError returns an error if the daemon is stopping and a request that is sent after the
+// time before may not be sent any more.
+func (f *Forwarder) stopError(rs *requestState, state shutdown.State, before time.Duration) *core.Error {
+	stop, now := f.stop(), f.now()
+	if stop.End.IsZero() {
+		return nil
+	}
+	f.inProgress.mu.Lock()
+	e := f.estimate(rs.route, now)
+	f.inProgress.mu.Unlock()
+	d := shutdown.Decide(now, stop, shutdown.Request{State: state, Deadline: rs.deadline, Before: before, Answer: e})
+	if d.Allowed {
+		return nil
+	}
+	return stopRefusal(fmt.Sprintf("the daemon ends in %d ms: %s (needs %d ms; %d answers lately, the latest %d ms ago)",
+		d.Left.Milliseconds(), d.Reason, d.Needed.Milliseconds(), e.Samples, e.Age.Milliseconds()))
+}
+
+// stopRefusal is the error of a request that did not run since the daemon is stopping.
+// Other daemons take it at once.
+func stopRefusal(detail string) *core.Error {
+	return &core.Error{Kind: core.Unavailable, Step: "stop", Ran: core.RanNot, RetryAfter: minRetryAfter, Detail: detail}
+}
+
+// retryState returns the state of a request that is about to be sent.
+func (rs *requestState) retryState() shutdown.State {
+	if rs.mayHaveRun {
+		return shutdown.Begun
+	}
+	return shutdown.NotRun
+}
--- a/internal/app/forward/stream.go
+++ b/internal/app/forward/stream.go
@@ -212,6 +212,7 @@
 			s.w.Header()[k] = v
 		}
 		rs.answerStarted = true
+		s.forwarder.inProgress.answering(rs)
 		rs.outcome.Status, rs.contentType = a.Status, a.Header.Get("Content-Type")
 		rs.outcome.FirstByte = s.forwarder.now().Sub(rs.req.Arrived)
 		s.w.WriteHeader(a.Status)
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -33,6 +33,7 @@
 	"eelgrassgrade/internal/decide/clients"
 	"eelgrassgrade/internal/decide/coldstart"
 	"eelgrassgrade/internal/decide/repeats"
+	"eelgrassgrade/internal/decide/shutdown"
 	"eelgrassgrade/internal/settings"
 	"eelgrassgrade/platform"
 )
@@ -66,8 +67,8 @@
 	store       *platform.Store
 	budgets     *repeatBudgets
 	fleetSize   fleetSize
-	// stopsAt is when the daemon ends; nil unless it is stopping.
-	stopsAt  atomic.Pointer[time.Time]
+	// stopPlan is the daemon's stop; nil unless it is stopping.
+	stopPlan atomic.Pointer[shutdown.Stop]
 	metrics  *metrics.Set
 	stopping atomic.Bool
 	shutdown chan struct{}
@@ -114,7 +115,7 @@
 	d.coordinator = stagework.NewCoordinator(ctx, d.calls, d.endpoints.PausedUntil, d.limits, d.telemetry, stageBudgets, time.Now)
 	d.stageClient = stagework.NewClient(d.fleet, self, d.coordinator, d.rpc, d.telemetry, time.Now, s.RegionOf)
 	d.forward = forward.New(forward.Options{Self: self.ID, Catalog: d.catalog.Load, View: d.endpoints.View, Fleet: d.fleet.View, Endpoints: d.calls,
-		Stages: d.stageClient, PausedUntil: d.endpoints.PausedUntil, Limits: d.limits, Budget: d.budgets, Events: d.telemetry, Memory: d.memory, Now: time.Now, StopsAt: d.stopTime, RegionOf: s.RegionOf, Announce: d.fleet.Announce, LevelAbove: s.EvenLoad.AboveDaemons, DaemonCount: d.daemonCount})
+		Stages: d.stageClient, PausedUntil: d.endpoints.PausedUntil, Limits: d.limits, Budget: d.budgets, Events: d.telemetry, Memory: d.memory, Now: time.Now, Stop: d.currentStop, RegionOf: s.RegionOf, Announce: d.fleet.Announce, LevelAbove: s.EvenLoad.AboveDaemons, DaemonCount: d.daemonCount})
 	d.configTable = mirror.NewTable(platform.OperatorTable, d.configTableChanged)
 	d.endpointTable = mirror.NewTable(platform.EndpointTable, d.endpointTableChanged)
 	d.daemonTable = mirror.NewTable(daemonTableName, d.daemonTableChanged)
@@ -156,12 +157,12 @@
 	d.limits.MergeReported(s.Member.ID, s.Limits)
 }
 
-// stopTime returns when the daemon ends if it is stopping, or the zero time.
-func (d *Daemon) stopTime() time.Time {
-	if end := d.stopsAt.Load(); end != nil {
-		return *end
+// currentStop returns the daemon's stop, or the zero value if it is not stopping.
+func (d *Daemon) currentStop() shutdown.Stop {
+	if s := d.stopPlan.Load(); s != nil {
+		return *s
 	}
-	return time.Time{}
+	return shutdown.Stop{}
 }
 
 // daemonCount returns the number of daemons that share a fixed allowance: the live ones,
--- a/internal/edge/lifecycle.go
+++ b/internal/edge/lifecycle.go
@@ -8,6 +8,7 @@
 
 	"eelgrassgrade/internal/app/fleet"
 	"eelgrassgrade/internal/app/forward"
+	"eelgrassgrade/internal/decide/shutdown"
 	"eelgrassgrade/internal/settings"
 )
 
@@ -83,7 +84,7 @@
 	d.log.Info().Int("in_progress", d.forward.Active()).Msg("stopping")
 	callers.announceStop()
 	end := began.Add(seconds(d.settings.StopWithinS) - killMargin)
-	d.stopsAt.Store(&end)
+	d.stopPlan.Store(&shutdown.Stop{Began: began, End: end})
 	ctx, cancel := context.WithDeadline(context.Background(), end)
 	defer cancel()
 	go func() {
