forward: give up what a stopping daemon cannot serve before its end

Callers whose request waited in a stopping daemon were held until its end, or until their stages were done, to be refused then; all that were left got their answers in the 200 ms of the abort.

Cause: nothing looked at a request while it waited. Stages ran up to their own deadline, which knows no stop, and ran again after lost results. A process with 0.4 of a processor in periods of 100 ms has 80 ms for all its last answers.

Change: the forwarder keeps the requests in progress with their states. While the daemon stops, those that wait and would be refused when they are sent are refused, as not run; one that is given up is not sent. Streams without an event end 500 ms before the end, other requests without an answer 250 ms before, with 502. Streams that have begun keep the whole stop. The stages of a request that has not run are run again only if it could still be sent after them.

--- a/internal/app/forward/attempt.go
+++ b/internal/app/forward/attempt.go
@@ -123,6 +123,10 @@
 				break
 			}
 			rs.inputs.releaseAll()
+			if err := f.stopError(rs, rs.retryState(), rs.plan.stagesTime()); err != nil {
+				lastErr = err
+				break
+			}
 			if rs.answerStarted {
 				rs.relaxDeadlines(f.now())
 			}
@@ -194,7 +198,9 @@
 // tryEndpoint sends a request to one endpoint and relays its answer.
 func (f *Forwarder) tryEndpoint(ctx context.Context, rs *requestState, c placement.Candidate, s *streamRelay) error {
 	startTime, e := f.now(), c.Endpoint
-	f.inProgress.sent(rs, startTime)
+	if !f.inProgress.sent(rs, startTime) {
+		return stopRefusal("the daemon ends before the request could be sent")
+	}
 	rs.sentTo, rs.endpointRun = e, quarantine.RunOf(e.ID, f.view().ByID[e.ID].StartedMs)
 	markFirstEvent, markEnd := f.tracker.requestStarted(rs.pool, e.ID, c.UncachedTokens)
 	defer markEnd()
--- a/internal/app/forward/forward.go
+++ b/internal/app/forward/forward.go
@@ -232,9 +232,11 @@
 	if err := f.resolve(rs); err != nil {
 		return err, false
 	}
-	f.inProgress.add(rs)
+	waitCtx, giveUp := context.WithCancelCause(callerCtx)
+	defer giveUp(nil)
+	f.inProgress.add(rs, giveUp)
 	defer f.inProgress.remove(rs)
-	ctx, cancel := context.WithDeadline(callerCtx, rs.deadline)
+	ctx, cancel := context.WithDeadline(waitCtx, rs.deadline)
 	defer cancel()
 	if err := f.admitAndRunStages(ctx, rs); err != nil {
 		return f.finalError(ctx, rs, err), false
@@ -413,6 +415,9 @@
 	results, err := f.runStages(ctx, rs)
 	if e := core.AsError(err, "stage"); err != nil && rs.stageRuns == 1 && e.Kind == core.Conflict {
 		// An endpoint has lost a result that a later stage needs.
+		if err := f.stopError(rs, rs.retryState(), rs.plan.stagesTime()); err != nil {
+			return err
+		}
 		enoughTime := f.now().Add(rs.plan.expectedTime - rs.plan.firstEventTime).Before(rs.stagesDeadline)
 		f.events.RetryDecided(rs.req, rs.pool, "results of stages are gone", enoughTime, nil, e)
 		if enoughTime {
--- a/internal/app/forward/refusal.go
+++ b/internal/app/forward/refusal.go
@@ -27,6 +27,9 @@
 	if rs.mayHaveRun && e.Ran == core.RanNot {
 		e.Ran = core.RanUnknown
 	}
+	if e.Ran == core.RanNot && context.Cause(ctx) == ErrStopping {
+		e = *stopRefusal("the daemon ends: " + e.Detail)
+	}
 	if e.Ran == core.RanNot {
 		if e.Kind == core.DeadlineExceeded || e.Kind == core.Conflict || e.Kind == core.Upstream {
 			e.Kind = core.Unavailable
--- a/internal/app/forward/stopping.go
+++ b/internal/app/forward/stopping.go
@@ -1,6 +1,7 @@
 package forward
 
 import (
+	"context"
 	"fmt"
 	"sync"
 	"time"
@@ -10,6 +11,10 @@
 	"eelgrassgrade/internal/decide/shutdown"
 )
 
+// giveUpInterval is the interval at which a stopping daemon looks for requests that it
+// gives up.
+const giveUpInterval = 50 * time.Millisecond
+
 // requestsInProgress holds the requests in progress with their states, and the times of the
 // answers that have ended by route, from sending a request to the end of its answer.
 type requestsInProgress struct {
@@ -22,16 +27,19 @@
 	state shutdown.State
 	// sentAt is when the request was last sent to an endpoint.
 	sentAt time.Time
+	// giveUp ends the request; givenUp is set once it was called.
+	giveUp  context.CancelCauseFunc
+	givenUp bool
 }
 
 // add adds a request whose route is known.
-func (p *requestsInProgress) add(rs *requestState) {
+func (p *requestsInProgress) add(rs *requestState, giveUp context.CancelCauseFunc) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.requests == nil {
 		p.requests = map[*requestState]*progress{}
 	}
-	p.requests[rs] = &progress{}
+	p.requests[rs] = &progress{giveUp: giveUp}
 }
 
 func (p *requestsInProgress) remove(rs *requestState) {
@@ -40,15 +48,20 @@
 	delete(p.requests, rs)
 }
 
-// sent records that a request is about to be sent.
-func (p *requestsInProgress) sent(rs *requestState, now time.Time) {
+// sent records that a request is about to be sent. It returns false if the request was given
+// up: it then must not be sent, since its caller is told that it did not run.
+func (p *requestsInProgress) sent(rs *requestState, now time.Time) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	r := p.requests[rs]
+	if r.givenUp {
+		return false
+	}
 	r.sentAt, r.state = now, shutdown.Unanswered
 	if rs.answerStarted {
 		r.state = shutdown.Answering
 	}
+	return true
 }
 
 // answering records that the caller gets an answer.
@@ -146,3 +159,37 @@
 	}
 	return shutdown.NotRun
 }
+
+// GiveUpWaiting ends, until ctx ends, the requests that wait and that a stopping daemon
+// cannot serve any more. Their callers hear at once that they did not run, rather than
+// together in the moment in which the process ends.
+func (f *Forwarder) GiveUpWaiting(ctx context.Context) {
+	t := time.NewTicker(giveUpInterval)
+	defer t.Stop()
+	for {
+		f.giveUpWaiting()
+		select {
+		case <-ctx.Done():
+			return
+		case <-t.C:
+		}
+	}
+}
+
+func (f *Forwarder) giveUpWaiting() {
+	stop, now := f.stop(), f.now()
+	f.inProgress.mu.Lock()
+	defer f.inProgress.mu.Unlock()
+	estimates := map[*catalog.Route]shutdown.Estimate{}
+	for rs, r := range f.inProgress.requests {
+		e, known := estimates[rs.route]
+		if !known {
+			e = f.estimate(rs.route, now)
+			estimates[rs.route] = e
+		}
+		if !r.givenUp && shutdown.GiveUp(now, stop, shutdown.Request{State: r.state, Deadline: rs.deadline, Stream: rs.route.Stream, Answer: e}) {
+			r.givenUp = true
+			r.giveUp(ErrStopping)
+		}
+	}
+}
--- a/internal/decide/shutdown/shutdown.go
+++ b/internal/decide/shutdown/shutdown.go
@@ -1,4 +1,5 @@
-// Package shutdown decides which requests a stopping daemon takes on. It answers the pattern "requests that are taken late in a stop outlast
+// Package shutdown decides which requests a stopping daemon takes on, and when it gives up
+// those that wait. It answers the pattern "requests that are taken late in a stop outlast
 // it": their estimates are missing, old or too short, and the end of the process cuts them.
 // A caller that is refused goes to another daemon at once, while one that is cut has lost
 // all its time, and its request may have run. So the later a request comes, the more certain
@@ -23,6 +24,11 @@
 	maxAge     = 3 * time.Second
 	// lateFactor is applied to the longest recent answer time late in a stop.
 	lateFactor = 1.5
+	// A stream without an event is given up streamGiveUp before the end, another request
+	// without an answer answerGiveUp before. A process with a small share of a processor
+	// cannot write hundreds of refusals in its last 200 ms.
+	streamGiveUp = 500 * time.Millisecond
+	answerGiveUp = 250 * time.Millisecond
 )
 
 // Stop is the stop of a daemon. Its zero value means that the daemon is not stopping.
@@ -68,6 +74,7 @@
 	// Before is the expected time until the request is sent.
 	Before time.Duration
 	Answer Estimate
+	Stream bool
 }
 
 // Decision is a decision with its reason and, if the daemon is stopping, the time that is
@@ -114,3 +121,22 @@
 		d.Reason = "expected to outlast the stop"
 	}
 }
+
+// GiveUp reports whether a request in progress is ended now, so that its caller surely gets
+// an answer: one that waits and would be refused when it is sent, or one that cannot end in
+// the last moments. Others keep what is left of the stop.
+func GiveUp(now time.Time, s Stop, r Request) bool {
+	if s.End.IsZero() {
+		return false
+	}
+	left := s.End.Sub(now)
+	switch {
+	case r.State == NotRun:
+		return !Decide(now, s, r).Allowed
+	case r.State == Unanswered && r.Stream:
+		return left < streamGiveUp
+	case r.State == Unanswered || r.State == Begun:
+		return left < answerGiveUp
+	}
+	return false
+}
--- a/internal/decide/shutdown/shutdown_test.go
+++ b/internal/decide/shutdown/shutdown_test.go
@@ -22,25 +22,28 @@
 		limit   time.Duration
 		answer  Estimate
 		allowed bool
+		givenUp bool
 	}{
-		{"not stopping", Stop{}, NotRun, 0, time.Hour, Estimate{Expected: time.Minute}, true},
-		{"early", stop, NotRun, earlyTime, time.Hour, Estimate{}, true},
-		{"early, expected to last longer", stop, NotRun, earlyTime, time.Hour, Estimate{Expected: 5 * time.Second}, false},
-		{"early in a short stop", Stop{began, began.Add(4 * time.Second)}, NotRun, 1500 * time.Millisecond, time.Hour, Estimate{}, true},
-		{"late in a short stop", Stop{began, began.Add(4 * time.Second)}, NotRun, 1700 * time.Millisecond, time.Hour, Estimate{}, false},
-		{"late", stop, NotRun, 4 * time.Second, time.Hour, recent(2 * time.Second), true},
-		{"late, a longer answer", stop, NotRun, 4 * time.Second, time.Hour, recent(3 * time.Second), false},
-		{"late, but its time ends before", stop, NotRun, 7 * time.Second, 700 * time.Millisecond, Estimate{}, true},
-		{"shortly before the end", stop, NotRun, 6300 * time.Millisecond, time.Hour, recent(0), false},
-		{"has begun", stop, Begun, 7400 * time.Millisecond, time.Hour, Estimate{Expected: time.Minute}, true},
-		{"has begun, at the end", stop, Begun, 7700 * time.Millisecond, time.Hour, Estimate{}, false},
-		{"moves", stop, Moving, 6 * time.Second, time.Hour, Estimate{Expected: 1700 * time.Millisecond}, true},
-		{"does not move", stop, Moving, 6 * time.Second, time.Hour, Estimate{Expected: 1800 * time.Millisecond}, false},
+		{"not stopping", Stop{}, NotRun, 0, time.Hour, Estimate{Expected: time.Minute}, true, false},
+		{"not stopping, at an endpoint", Stop{}, Unanswered, 0, time.Hour, Estimate{}, true, false},
+		{"early", stop, NotRun, earlyTime, time.Hour, Estimate{}, true, false},
+		{"early, expected to last longer", stop, NotRun, earlyTime, time.Hour, Estimate{Expected: 5 * time.Second}, false, true},
+		{"early in a short stop", Stop{began, began.Add(4 * time.Second)}, NotRun, 1500 * time.Millisecond, time.Hour, Estimate{}, true, false},
+		{"late in a short stop", Stop{began, began.Add(4 * time.Second)}, NotRun, 1700 * time.Millisecond, time.Hour, Estimate{}, false, true},
+		{"late", stop, NotRun, 4 * time.Second, time.Hour, recent(2 * time.Second), true, false},
+		{"late, a longer answer", stop, NotRun, 4 * time.Second, time.Hour, recent(3 * time.Second), false, true},
+		{"late, but its time ends before", stop, NotRun, 7 * time.Second, 700 * time.Millisecond, Estimate{}, true, false},
+		{"shortly before the end", stop, NotRun, 6300 * time.Millisecond, time.Hour, recent(0), false, true},
+		{"has begun", stop, Begun, 7400 * time.Millisecond, time.Hour, Estimate{Expected: time.Minute}, true, false},
+		{"has begun, at the end", stop, Begun, 7700 * time.Millisecond, time.Hour, Estimate{}, false, true},
+		{"moves", stop, Moving, 6 * time.Second, time.Hour, Estimate{Expected: 1700 * time.Millisecond}, true, false},
+		{"does not move", stop, Moving, 6 * time.Second, time.Hour, Estimate{Expected: 1800 * time.Millisecond}, false, false},
+		{"gets its answer", stop, Answering, 7690 * time.Millisecond, time.Hour, Estimate{}, false, false},
 	} {
 		r, now := Request{State: c.state, Answer: c.answer}, began.Add(c.at)
 		r.Deadline = now.Add(c.limit)
-		if d := Decide(now, c.stop, r); d.Allowed != c.allowed {
-			t.Errorf("%s: %+v, want %v", c.name, d, c.allowed)
+		if d, up := Decide(now, c.stop, r), GiveUp(now, c.stop, r); d.Allowed != c.allowed || up != c.givenUp {
+			t.Errorf("%s: %+v, given up %v; want %v, %v", c.name, d, up, c.allowed, c.givenUp)
 		}
 	}
 }
--- a/internal/edge/lifecycle.go
+++ b/internal/edge/lifecycle.go
@@ -92,6 +92,7 @@
 			d.log.Warn().Err(err).Msg("deregistration_failed")
 		}
 	}()
+	go d.forward.GiveUpWaiting(ctx)
 	linger(ctx, lingerTime, time.Now, time.Sleep)
 	if err := callers.finish(ctx); err != nil {
 		d.log.Warn().Int("in_progress", d.forward.Active()).Err(err).Msg("requests_cut")
