edge: count the time until SIGKILL from the begin of a pause

Callers of a daemon that was paused when SIGTERM came could be cut at SIGKILL without the answers of its last moments.

Cause: the stop was planned from the moment in which the signal is handled. One that is sent during a pause of the process is handled after it, while the grace runs on the wall from when it was sent; 100 ms of slack are left for that.

Evidence: TestAStopAfterAPauseEndsBeforeSIGKILL, of the decision alone. The code before has nothing to decide with: it took the time of handling, so that a pause of 2 s plans the end up to 1.7 s after SIGKILL. Not shown with a real process.

Change: the daemon notes each 100 ms that it runs. If a gap of 250 ms or more has just ended when SIGTERM is handled, the stop counts from its begin, but from half of the grace ago at most. `stopping` says so with `paused_ms`.

A pause that ended before the signal came shortens the stop by its length without need.

--- a/internal/decide/shutdown/shutdown_test.go
+++ b/internal/decide/shutdown/shutdown_test.go
@@ -67,3 +67,31 @@
 		}
 	}
 }
+
+// Guards against a stop that is planned to end after SIGKILL, since SIGTERM came during a
+// pause of the process.
+func TestAStopAfterAPauseEndsBeforeSIGKILL(t *testing.T) {
+	const grace = 8 * time.Second
+	for _, c := range []struct{ pause, handled, want time.Duration }{
+		{0, 50 * time.Millisecond, 0},
+		{minPause - 1, 0, 0},
+		{2 * time.Second, 0, 2 * time.Second},
+		{2 * time.Second, handlingTime, 2*time.Second + handlingTime},
+		{2 * time.Second, handlingTime + 1, 0},
+		{6 * time.Second, 0, grace / 2},
+	} {
+		// ticked says whether the pause ends with another call of Observe.
+		for _, ticked := range []bool{true, c.handled > 0} {
+			var p Pauses
+			now := time.Unix(1000, 0)
+			p.Observe(now)
+			if now = now.Add(c.pause); ticked {
+				p.Observe(now)
+			}
+			now = now.Add(c.handled)
+			if got := now.Sub(p.StopBegan(now, grace)); got != c.want {
+				t.Errorf("handled %v after a pause of %v (ticked %v): the stop began %v ago, want %v", c.handled, c.pause, ticked, got, c.want)
+			}
+		}
+	}
+}
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -69,6 +69,7 @@
 	fleetSize   fleetSize
 	// stopPlan is the daemon's stop; nil unless it is stopping.
 	stopPlan atomic.Pointer[shutdown.Stop]
+	pauses   shutdown.Pauses
 	metrics  *metrics.Set
 	stopping atomic.Bool
 	shutdown chan struct{}
@@ -334,6 +335,7 @@
 		}
 	}
 	go sockets.run(ctx)
+	go d.watchPauses(ctx)
 	go d.fleet.Run(ctx)
 	d.followTables(ctx)
 	go d.catchUp(ctx)
--- a/internal/edge/lifecycle.go
+++ b/internal/edge/lifecycle.go
@@ -78,12 +78,13 @@
 // of the process would close their connections without an answer, and in order, which
 // ends a stream of a caller of HTTP/1.0.
 func (d *Daemon) stop(callers *callerServer, abortRequests context.CancelCauseFunc) {
-	began := time.Now()
+	grace := seconds(d.settings.StopWithinS)
+	began := d.pauses.StopBegan(time.Now(), grace)
 	d.stopping.Store(true)
 	d.fleet.Leave()
-	d.log.Info().Int("in_progress", d.forward.Active()).Msg("stopping")
+	d.log.Info().Int("in_progress", d.forward.Active()).Int64("paused_ms", time.Since(began).Milliseconds()).Msg("stopping")
 	callers.announceStop()
-	end := began.Add(seconds(d.settings.StopWithinS) - killMargin)
+	end := began.Add(grace - killMargin)
 	d.stopPlan.Store(&shutdown.Stop{Began: began, End: end})
 	ctx, cancel := context.WithDeadline(context.Background(), end)
 	defer cancel()
@@ -108,6 +109,20 @@
 	d.log.Info().Int64("took_ms", time.Since(began).Milliseconds()).Msg("stopped")
 }
 
+// watchPauses tells d.pauses that the process runs until ctx ends.
+func (d *Daemon) watchPauses(ctx context.Context) {
+	t := time.NewTicker(shutdown.WatchInterval)
+	defer t.Stop()
+	for {
+		d.pauses.Observe(time.Now())
+		select {
+		case <-ctx.Done():
+			return
+		case <-t.C:
+		}
+	}
+}
+
 // linger waits until the process has run for d or ctx has ended. Time in which the
 // process was paused does not count: connections that were opened during the pause are
 // not accepted yet, and closing the listener would reset them.
