--- a/internal/app/forward/attempt.go
+++ b/internal/app/forward/attempt.go
@@ -79,8 +79,10 @@
 			}
 			break
 		}
-		if err := f.stopError(f.expectedAnswerTime(rs.route)); err != nil && !rs.mayHaveRun {
-			lastErr = err
+		if err := f.stopError(rs, rs.retryState(), 0); err != nil {
+			if !rs.mayHaveRun {
+				lastErr = err
+			}
 			break
 		}
 		candidates := f.pickOrWait(ctx, rs, tried)
@@ -109,6 +111,7 @@
 			rs.mayHaveRun = true
 			s.possibleRuns++
 		}
+		f.inProgress.failed(rs)
 		moves := s.moves
 		if moves {
 			s.left = e.ID
@@ -130,6 +133,10 @@
 				break
 			}
 			rs.inputs.releaseAll()
+			if err := f.stopError(rs, rs.retryState(), rs.plan.stagesTime()); err != nil {
+				lastErr = err
+				break
+			}
 			if rs.answerStarted {
 				rs.relaxDeadlines(f.now())
 			}
@@ -210,6 +217,9 @@
 // tryEndpoint sends a request to one endpoint and relays its answer.
 func (f *Forwarder) tryEndpoint(ctx context.Context, rs *requestState, c placement.Candidate, s *streamRelay) error {
 	startTime, e := f.now(), c.Endpoint
+	if !f.inProgress.sent(rs, startTime) {
+		return stopRefusal("the daemon ends before the request could be sent")
+	}
 	rs.sentTo, rs.endpointRun = e, quarantine.RunOf(e.ID, f.view().ByID[e.ID].StartedMs)
 	markFirstEvent, markEnd := f.tracker.requestStarted(rs.pool, e.ID, c.UncachedTokens)
 	defer markEnd()
@@ -249,6 +259,7 @@
 			return f.recordBrokenAnswer(ctx, rs, e, a, startTime, firstEventAt, err)
 		}
 		if !resumed && !firstEventAt.IsZero() {
+			f.inProgress.ended(rs.route.Name, f.now(), f.now().Sub(startTime))
 			f.latencies.observeStreamDuration(rs.route.Name, f.now().Sub(firstEventAt))
 		}
 		f.contents.RecordSuccess(rs.fingerprint)
--- a/internal/app/forward/move.go
+++ b/internal/app/forward/move.go
@@ -8,6 +8,7 @@
 	"eelgrassgrade/internal/decide/health"
 	"eelgrassgrade/internal/decide/placement"
 	"eelgrassgrade/internal/decide/repeats"
+	"eelgrassgrade/internal/decide/shutdown"
 )
 
 // stallRecheck is the time after which a stalled stream that may not go on elsewhere looks
@@ -65,12 +66,15 @@
 		if rs.stageRuns > 1 {
 			return false
 		}
-		needed, stages = rs.plan.expectedTime, rs.plan.expectedTime-rs.plan.firstEventTime
+		needed, stages = rs.plan.expectedTime, rs.plan.stagesTime()
 	}
-	if f.stopError(stages+f.expectedAnswerTime(rs.route)) != nil {
-		return false
-	}
-	return f.now().Add(max(needed, minRemaining)).Before(rs.deadline)
+	return f.hasTimeToMove(rs, needed, stages)
+}
+
+// hasTimeToMove reports whether the time suffices for a request that has begun and whose
+// next event is expected after the time needed, stages of which its stages take.
+func (f *Forwarder) hasTimeToMove(rs *requestState, needed, stages time.Duration) bool {
+	return f.stopError(rs, shutdown.Moving, stages) == nil && f.now().Add(max(needed, minRemaining)).Before(rs.deadline)
 }
 
 // reserveHealthyEndpoint reports whether a healthy endpoint with a free slot that was not
--- a/internal/app/forward/prepare.go
+++ b/internal/app/forward/prepare.go
@@ -59,6 +59,8 @@
 	switch {
 	case p.err != nil:
 		reason, err = "stalled, its stages did not run again", core.AsError(p.err, "stage")
+	case !f.hasTimeToMove(rs, f.latencies.expectedFirstEvent(rs.route.Name), 0):
+		reason = "stalled, too little time to begin again"
 	case f.hasQuarantinedPart(rs):
 		reason = "stalled, endpoints crash on a part of its prompt"
 	case !f.reserveHealthyEndpoint(ctx, rs, s.tried):
--- a/internal/edge/delay.go
+++ b/internal/edge/delay.go
@@ -3,13 +3,20 @@
 import (
 	"sync"
 	"time"
+
+	"eelgrassgrade/internal/decide/shutdown"
 )
 
 const (
 	// delayWindow is how long a delay of the process counts as recent.
 	delayWindow = 5 * time.Second
-	// maxDelayShare bounds the part of the time for a stop by which it ends earlier.
-	maxDelayShare = 0.6
+	// maxAgeShare bounds the age of a signal, as a part of the time for a stop, since a longer
+	// delay probably began before the signal. maxEarlyShare bounds by how much a stop ends
+	// earlier.
+	maxAgeShare   = 0.5
+	maxEarlyShare = 0.6
+	// lateSlack is the delay that killMargin allows for.
+	lateSlack = killMargin - abortTime
 )
 
 // delayMonitor measures how late the process runs: for want of processor time, or after a
@@ -48,8 +55,7 @@
 
 // schedulingDelay describes how late the process runs.
 type schedulingDelay struct {
-	// present is for how long the process may not have run until now, if that is longer than
-	// usual.
+	// present is for how long the process may not have run until now.
 	present time.Duration
 	// usual is how late it has run more than once lately. A single longer delay was a pause,
 	// which is over.
@@ -70,18 +76,14 @@
 			second = max(second, d.delay)
 		}
 	}
-	present := now.Sub(m.last)
-	if present <= m.interval+second {
-		// The process is not late more than usual.
-		present = 0
-	}
-	return schedulingDelay{present, second}
+	return schedulingDelay{present: now.Sub(m.last), usual: second}
 }
 
-// stopEnd returns when the requests of a stop have to have ended whose signal was noticed at
-// noticed. The platform kills the process within from the signal on, which may be as old as
-// the delay, and the last answers are written by a process that runs late as well.
-func stopEnd(noticed time.Time, d schedulingDelay, within time.Duration) time.Time {
-	early := max(d.present, d.usual) + d.usual
-	return noticed.Add(within - killMargin - min(early, time.Duration(maxDelayShare*float64(within))))
+// planStop returns the stop whose signal was noticed at noticed. The platform kills the
+// process within from the signal on, which may be as old as the delay, and the last answers
+// are written by a process that runs late as well.
+func planStop(noticed time.Time, d schedulingDelay, within time.Duration) shutdown.Stop {
+	age := min(max(d.present, d.usual), time.Duration(maxAgeShare*float64(within)))
+	early := min(max(age+d.usual-lateSlack, 0), time.Duration(maxEarlyShare*float64(within)))
+	return shutdown.Stop{Began: noticed.Add(-age), End: noticed.Add(within - killMargin - early)}
 }
--- a/internal/edge/lifecycle.go
+++ b/internal/edge/lifecycle.go
@@ -78,21 +78,22 @@
 // of the process would close their connections without an answer, and in order, which
 // ends a stream of a caller of HTTP/1.0.
 func (d *Daemon) stop(callers *graceful.Server, abortRequests context.CancelCauseFunc) {
-	began := time.Now()
+	noticed := time.Now()
 	d.stopping.Store(true)
 	d.fleet.Leave()
-	delay := d.delays.delay(began)
-	end := stopEnd(began, delay, seconds(d.settings.StopWithinS))
-	d.stopsAt.Store(&end)
-	defer d.stopReport.begin(began, end, delay)()
+	delay := d.delays.delay(noticed)
+	plan := planStop(noticed, delay, seconds(d.settings.StopWithinS))
+	d.stopPlan.Store(&plan)
+	defer d.stopReport.begin(noticed, plan.End, delay)()
 	callers.AnnounceStop()
-	ctx, cancel := context.WithDeadline(context.Background(), end)
+	ctx, cancel := context.WithDeadline(context.Background(), plan.End)
 	defer cancel()
 	go func() {
 		if err := d.store.Remove(ctx, daemonTableName, d.settings.Instance); err != nil {
 			d.log.Warn().Err(err).Msg("deregistration_failed")
 		}
 	}()
+	go d.forward.GiveUpWaiting(ctx)
 	linger(ctx, lingerTime, time.Now, time.Sleep)
 	if err := callers.Finish(ctx); err != nil {
 		d.log.Warn().Int("in_progress", d.forward.Active()).Err(err).Msg("requests_cut")
