stagework: hand tasks back and finish the rest at a stop

Callers of other daemons saw stages that ran twice, or were refused for lack of time or of retry budget, after a planned stop of the daemon that coordinated the stage.

Cause: a stopping coordinator refused new tasks, but kept those that waited and ended as soon as its own callers had their answers. What waited or ran then was lost: it was submitted elsewhere, pieces that were at an endpoint ran again, and their results took up capacity until they expired.

Change: at the announcement of the stop, tasks that have not started are handed back, the daemon's own included, and the leaving daemon leaves its own view at once. A task that was not taken or handed back does not count as a lost coordinator; up to 8 coordinators may refuse it. The daemon ends when the started tasks of others have their answers, within the grace; for calls and frees that no task needs it waits a second at most. Answers that were made are sent before the connections close.

--- a/internal/adapter/fleetrpc/bench_test.go
+++ b/internal/adapter/fleetrpc/bench_test.go
@@ -34,7 +34,7 @@
 		}
 		self := fleet.Member{ID: core.InstanceID(fmt.Sprint("p", i)), Address: l.Addr().String()}
 		f := fleet.New(fleet.Options{Self: self, Events: fakePorts{}, Now: time.Now, Source: func() *fleet.Status { return status }, OnStatus: func(*fleet.Status) {}})
-		s := NewServer(f, nil, stagework.NewCoordinator(b.Context(), fakePorts{}, neverPaused, fakePorts{}, fakePorts{}, fakePorts{}, time.Now), fakePorts{}, time.Now, func() bool { return false })
+		s := NewServer(f, nil, stagework.NewCoordinator(b.Context(), fakePorts{}, neverPaused, fakePorts{}, fakePorts{}, fakePorts{}, time.Now), fakePorts{}, time.Now)
 		go s.Serve(l)
 		defer s.Stop()
 		addresses = append(addresses, self.Address)
@@ -69,7 +69,7 @@
 	if err != nil {
 		b.Fatal(err)
 	}
-	s := NewServer(nil, nil, nil, fakePorts{}, time.Now, func() bool { return false })
+	s := NewServer(nil, nil, nil, fakePorts{}, time.Now)
 	go s.Serve(l)
 	defer s.Stop()
 	c := NewClient(time.Now)
--- a/internal/adapter/fleetrpc/fleetrpc.go
+++ b/internal/adapter/fleetrpc/fleetrpc.go
@@ -38,6 +38,9 @@
 	// exchange. A daemon may have hundreds of connections, and gRPC's default buffers take
 	// 64 KB for each.
 	connBufferBytes = 4 << 10
+	// lastAnswersTime is a round trip between data centres. A peer that does not respond
+	// must not delay the end of the process.
+	lastAnswersTime = 50 * time.Millisecond
 	// streamWorkers is the number of goroutines that serve calls, so that not each call
 	// needs a new one.
 	streamWorkers = 4
@@ -174,14 +177,13 @@
 	coordinator *stagework.Coordinator
 	permits     Permits
 	now         func() time.Time
-	stopping    func() bool
 	compressor  *rowCompressor
 	grpc        *grpc.Server
 }
 
-// NewServer returns a server. It refuses tasks while stopping returns true.
-func NewServer(f *fleet.Fleet, tables []*mirror.Table, c *stagework.Coordinator, permits Permits, now func() time.Time, stopping func() bool) *Server {
-	s := &Server{fleet: f, tables: map[string]*mirror.Table{}, coordinator: c, permits: permits, now: now, stopping: stopping, compressor: newRowCompressor(),
+// NewServer returns a server.
+func NewServer(f *fleet.Fleet, tables []*mirror.Table, c *stagework.Coordinator, permits Permits, now func() time.Time) *Server {
+	s := &Server{fleet: f, tables: map[string]*mirror.Table{}, coordinator: c, permits: permits, now: now, compressor: newRowCompressor(),
 		grpc: grpc.NewServer(grpc.MaxRecvMsgSize(maxMessageBytes), grpc.MaxSendMsgSize(maxMessageBytes),
 			grpc.InitialWindowSize(flowWindowBytes), grpc.InitialConnWindowSize(flowWindowBytes),
 			grpc.ReadBufferSize(connBufferBytes), grpc.WriteBufferSize(connBufferBytes), grpc.SharedWriteBuffer(true), grpc.NumStreamWorkers(streamWorkers))}
@@ -196,8 +198,13 @@
 // Serve serves calls on l until Stop is called.
 func (s *Server) Serve(l net.Listener) error { return s.grpc.Serve(l) }
 
-// Stop stops the server and closes all its connections.
-func (s *Server) Stop() { s.grpc.Stop() }
+// Stop stops the server and closes all its connections. Answers that were made are still
+// sent, for lastAnswersTime at most.
+func (s *Server) Stop() {
+	t := time.AfterFunc(lastAnswersTime, s.grpc.Stop)
+	defer t.Stop()
+	s.grpc.GracefulStop()
+}
 
 // Exchange implements fleetpb.FleetServer.
 func (s *Server) Exchange(_ context.Context, m *fleetpb.Status) (*fleetpb.Status, error) {
@@ -222,10 +229,13 @@
 
 // Submit implements fleetpb.FleetServer.
 func (s *Server) Submit(m *fleetpb.Task, replies fleetpb.Fleet_SubmitServer) error {
-	if s.stopping() {
+	done, ok := s.coordinator.AdmitPeerTask()
+	if !ok {
 		return replies.Send(&fleetpb.TaskReply{Failure: failureToPB(&core.Error{Kind: core.Unavailable, Ran: core.RanNot, Detail: stagework.LostCoordinator})})
 	}
+	defer done()
 	group, t := taskFromPB(s.now(), m)
+	t.FromPeer = true
 	if t.Pieces < 1 || t.Pieces > maxTaskPieces {
 		return status.Errorf(codes.InvalidArgument, "the task has %d pieces, want 1 to %d", t.Pieces, maxTaskPieces)
 	}
--- a/internal/adapter/fleetrpc/fleetrpc_test.go
+++ b/internal/adapter/fleetrpc/fleetrpc_test.go
@@ -7,7 +7,6 @@
 	"maps"
 	"net"
 	"reflect"
-	"sync/atomic"
 	"testing"
 	"time"
 
@@ -74,7 +73,6 @@
 	table       *mirror.Table
 	coordinator *stagework.Coordinator
 	received    chan *fleet.Status
-	stopping    atomic.Bool
 }
 
 func startDaemon(t *testing.T) *daemon { return startDaemonWith(t, fakePorts{}) }
@@ -90,7 +88,7 @@
 	f := fleet.New(fleet.Options{Self: fleet.Member{ID: "d", Address: d.address}, Events: fakePorts{}, Now: time.Now,
 		Source: func() *fleet.Status { return &fleet.Status{Tables: map[string]core.CopyPosition{"t": at(7)}} }, OnStatus: func(s *fleet.Status) { d.received <- s }})
 	d.fleet = f
-	s := NewServer(f, []*mirror.Table{d.table}, d.coordinator, fakePorts{}, time.Now, d.stopping.Load)
+	s := NewServer(f, []*mirror.Table{d.table}, d.coordinator, fakePorts{}, time.Now)
 	go func() {
 		if err := s.Serve(l); err != nil {
 			t.Error(err)
@@ -283,7 +281,7 @@
 	if _, err := c.Submit(t.Context(), d.address, 0, late); core.AsError(err, "").Ran != core.RanNot || core.AsError(err, "").Kind != core.DeadlineExceeded {
 		t.Errorf("a task after its deadline: %v", err)
 	}
-	d.stopping.Store(true)
+	d.coordinator.HandBack()
 	refused := task()
 	_, err = c.Submit(t.Context(), d.address, 0, refused)
 	if e := core.AsError(err, ""); e.Detail != stagework.LostCoordinator || e.Ran != core.RanNot || refused.Started() {
--- a/internal/app/fleet/fleet.go
+++ b/internal/app/fleet/fleet.go
@@ -296,8 +296,14 @@
 	return f.view.Load()
 }
 
-// Leave marks this daemon as leaving from its next status on.
-func (f *Fleet) Leave() { f.leaving.Store(true) }
+// Leave marks this daemon as leaving, in its view at once and in its statuses from the next
+// one on.
+func (f *Fleet) Leave() {
+	f.leaving.Store(true)
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.publishView()
+}
 
 // Add adds daemons as peers. listed says that they are in the platform's list.
 func (f *Fleet) Add(members []Member, listed bool) {
--- a/internal/app/stagework/client.go
+++ b/internal/app/stagework/client.go
@@ -15,8 +15,10 @@
 )
 
 const (
-	// maxCoordinatorTries bounds the coordinators to which one task is submitted.
-	maxCoordinatorTries = 3
+	// maxLostCoordinators and maxRefusals bound the coordinators that were lost with a task,
+	// and those that refused it or handed it back because they stop.
+	maxLostCoordinators = 3
+	maxRefusals         = 8
 	// releaseDelay is how long released results are collected before they are sent to
 	// their coordinators.
 	releaseDelay   = 5 * time.Millisecond
@@ -44,6 +46,8 @@
 	groupOf         map[core.PoolID]map[core.InstanceID]int
 	pendingReleases map[core.PoolID][]Result
 	flushScheduled  bool
+	// flushing counts the calls of flushReleases in progress.
+	flushing int
 }
 
 // NewClient returns a client. It sets hooks of local, through which local releases
@@ -202,7 +206,7 @@
 	group := c.chooseGroup(t)
 	var err error
 	var tried []string
-	for range maxCoordinatorTries {
+	for lost, refusals := 0, 0; lost < maxLostCoordinators && refusals < maxRefusals; {
 		if current := c.chooseGroup(t); err != nil && current != group {
 			// The groups of the pool have changed, or another group now has the shorter
 			// wait.
@@ -219,8 +223,14 @@
 			c.events.TaskEnded(t, string(m.ID), c.now().Sub(began), err)
 			return results, err
 		}
-		c.events.PieceRepeated(t, "coordinator "+string(m.ID)+" lost", true, nil)
 		t.MayHaveRun = t.MayHaveRun || t.Started()
+		if core.AsError(err, "stage").Ran == core.RanNot {
+			refusals++
+			c.events.PieceRepeated(t, "coordinator "+string(m.ID)+" handed the task back", true, nil)
+			continue
+		}
+		lost++
+		c.events.PieceRepeated(t, "coordinator "+string(m.ID)+" lost", true, nil)
 	}
 	if err == nil {
 		err = &core.Error{Kind: core.Unavailable, Step: "stage", Ran: core.RanNot, RetryAfter: time.Second, Detail: "no daemon is available to coordinate pool " + string(t.Pool)}
@@ -297,6 +307,12 @@
 	c.mu.Lock()
 	pending := c.pendingReleases
 	c.pendingReleases, c.flushScheduled = map[core.PoolID][]Result{}, false
+	c.flushing++
+	defer func() {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		c.flushing--
+	}()
 	type batch struct {
 		pool        core.PoolID
 		coordinator fleet.Member
--- a/internal/app/stagework/coordinator.go
+++ b/internal/app/stagework/coordinator.go
@@ -4,6 +4,7 @@
 	"context"
 	"maps"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"eelgrassgrade/internal/app/endpoints"
@@ -90,6 +91,10 @@
 	// for result capacity where a result is stored.
 	releaseInputs func(core.PoolID, []Result)
 	capacityWait  func(core.PoolID, Result) time.Duration
+	// handingBack says that tasks of other daemons are refused, peerTasks counts those in
+	// progress.
+	handingBack atomic.Bool
+	peerTasks   atomic.Int64
 
 	mu     sync.Mutex
 	groups map[fleet.StageGroup]*endpointGroup
--- a/internal/app/stagework/group.go
+++ b/internal/app/stagework/group.go
@@ -100,7 +100,7 @@
 // submit queues the pieces of a task and waits until the task or ctx ends.
 func (g *endpointGroup) submit(ctx context.Context, t *Task) ([]Result, error) {
 	g.mu.Lock()
-	if g.removed {
+	if g.removed || t.FromPeer && g.coordinator.handingBack.Load() {
 		g.mu.Unlock()
 		return nil, groupRemovedError()
 	}
--- a/internal/app/stagework/ports.go
+++ b/internal/app/stagework/ports.go
@@ -55,6 +55,8 @@
 	// MayHaveRun says that pieces may have been sent to an endpoint before, so that
 	// running the task counts against the retry budget.
 	MayHaveRun bool
+	// FromPeer says that another daemon has submitted the task here.
+	FromPeer bool
 	// OnStart is called once, before the first piece is sent to an endpoint. It must not
 	// block.
 	OnStart func()
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -298,7 +298,7 @@
 	sockets := d.newSockets()
 	callers := sockets.callerServer(requests)
 	ready := &http.Server{Handler: platform.ReadyHandler(d.ready), ConnState: connStateHook}
-	rpc := fleetrpc.NewServer(d.fleet, []*mirror.Table{d.configTable, d.endpointTable, d.daemonTable}, d.coordinator, d.limits, time.Now, d.stopping.Load)
+	rpc := fleetrpc.NewServer(d.fleet, []*mirror.Table{d.configTable, d.endpointTable, d.daemonTable}, d.coordinator, d.limits, time.Now)
 	defer func() {
 		rpc.Stop()
 		ready.Close()
--- a/internal/edge/lifecycle.go
+++ b/internal/edge/lifecycle.go
@@ -73,14 +73,16 @@
 
 // stop shuts the daemon down. It makes the readiness check fail and announces the leave
 // to the other daemons, serves new requests until the load balancer has noticed, and
-// waits for the requests in progress. Those that are left at the end are aborted: the end
+// waits for the requests in progress and the stage tasks of other daemons that have started
+// here. Requests that are left at the end are aborted: the end
 // of the process would close their connections without an answer, and in order, which
 // ends a stream of a caller of HTTP/1.0.
 func (d *Daemon) stop(callers *callerServer, abortRequests context.CancelCauseFunc) {
 	began := time.Now()
 	d.stopping.Store(true)
 	d.fleet.Leave()
-	d.log.Info().Int("in_progress", d.forward.Active()).Msg("stopping")
+	handedBack := d.coordinator.HandBack()
+	d.log.Info().Int("in_progress", d.forward.Active()).Int("stage_tasks_handed_back", handedBack).Msg("stopping")
 	callers.announceStop()
 	end := began.Add(seconds(d.settings.StopWithinS) - killMargin)
 	d.stopsAt.Store(&end)
@@ -103,6 +105,9 @@
 			_ = callers.Close()
 		}
 	}
+	if unfinished := d.stageClient.Finish(ctx); unfinished > 0 {
+		d.log.Warn().Int("stage_tasks", unfinished).Msg("stage_tasks_cut")
+	}
 	d.log.Info().Int64("took_ms", time.Since(began).Milliseconds()).Msg("stopped")
 }
 
