stagework: refuse truly what no coordinator takes

Callers got 502, without a time to return, for requests that had not run: each daemon that could coordinate one of their stages was lost or stopping.

Cause: the error of the last coordinator was passed on. It does not know whether its pieces ran, which says nothing about the request: its endpoint is called after the stages, and all other errors of stages say "not run". A refusal by stopping daemons named no time to return.

Evidence: TestATaskThatNobodyTakesDidNotRun failed on the code before for lost and for stopping coordinators.

Change: such a task ends with one error of the client: unavailable, not run, return after a second. The cause stays in it for the log.

After: go test ./internal/app/stagework passes.

--- a/internal/app/stagework/client.go
+++ b/internal/app/stagework/client.go
@@ -232,9 +232,9 @@
 		lost++
 		c.events.PieceRepeated(t, "coordinator "+string(m.ID)+" lost", true, nil)
 	}
-	if err == nil {
-		err = &core.Error{Kind: core.Unavailable, Step: "stage", Ran: core.RanNot, RetryAfter: time.Second, Detail: "no daemon is available to coordinate pool " + string(t.Pool)}
-	}
+	// The endpoint of the request has not got it: a stage that is lost with its coordinator
+	// has not run the request.
+	err = &core.Error{Kind: core.Unavailable, Step: "stage", Ran: core.RanNot, RetryAfter: time.Second, Detail: "no daemon is available to coordinate pool " + string(t.Pool), Err: err}
 	c.events.TaskEnded(t, "", c.now().Sub(began), err)
 	return nil, err
 }
--- a/internal/app/stagework/client_test.go
+++ b/internal/app/stagework/client_test.go
@@ -193,3 +193,33 @@
 func (noCoordinators) Release(context.Context, string, core.PoolID, []Result) error {
 	return context.Canceled
 }
+
+// Guards against requests that did not run, since all daemons that could coordinate a stage
+// were lost or refused it, whose callers are not told so, nor when to return.
+func TestATaskThatNobodyTakesDidNotRun(t *testing.T) {
+	withClient(t, 3, func(sim *simulation, c *Client) {
+		c.SetEndpoints(sim.pool(), sim.entries())
+		ctx, cancel := context.WithCancel(sim.t.Context())
+		defer cancel()
+		go c.fleet.Run(ctx)
+		time.Sleep(2 * time.Second)
+		for i := range 30 {
+			c.fleet.HandleExchange(&fleet.Status{Member: fleet.Member{ID: core.InstanceID(fmt.Sprint("e", i)), Address: fmt.Sprint("e", i)}, Incarnation: 1})
+		}
+		for _, remote := range []Coordinators{noCoordinators{}, stoppingCoordinators{}} {
+			c.remote = remote
+			began := time.Now()
+			_, err := c.Run(ctx, newTask("r", 1, 0, time.Second, 5*time.Second))
+			if e := core.AsError(err, ""); err == nil || e.Kind != core.Unavailable || e.Ran != core.RanNot || e.RetryAfter <= 0 || e.Step == "" || time.Since(began) > 0 {
+				t.Errorf("%T: %+v after %v", remote, e, time.Since(began))
+			}
+		}
+	})
+}
+
+// stoppingCoordinators is a Coordinators whose daemons are stopping.
+type stoppingCoordinators struct{ noCoordinators }
+
+func (stoppingCoordinators) Submit(context.Context, string, int, *Task) ([]Result, error) {
+	return nil, groupRemovedError()
+}
