permits: grant as the last daemon while it stops

Callers of a daemon that runs alone were refused during its planned stop if their endpoint names a limit or is cold: no daemon granted permits.

Cause: a stopping daemon is not in its own view, from which the grantor is chosen.

Change: a stopping daemon grants if its view and the list of daemons name no other. One that is only cut off still grants nothing, since the others no longer count it when they share the limit.

--- a/internal/app/permits/cold.go
+++ b/internal/app/permits/cold.go
@@ -315,13 +315,7 @@
 	if settled := settleTime - now.Sub(r.startedAt); settled > 0 {
 		return &Reply{Wait: settled}
 	}
-	reached := 0
-	for _, m := range r.Fleet().Alive {
-		if m.GrantsPermits {
-			reached++
-		}
-	}
-	rate := r.Allowance.Share(r.coldPool(c.entry), reached, r.ColdOptions.DaemonCount())
+	rate := r.Allowance.Share(r.coldPool(c.entry), r.reached(), r.ColdOptions.DaemonCount())
 	if rate.PerSecond <= 0 {
 		return &Reply{Wait: noShareWait, noShare: true}
 	}
--- a/internal/app/permits/fleet_test.go
+++ b/internal/app/permits/fleet_test.go
@@ -545,3 +545,23 @@
 		}
 	})
 }
+
+// Guards against a stopping daemon that refuses its last requests for lack of a grantor
+// although no other daemon exists, and against one that grants while others may as well.
+func TestALeavingDaemonGrantsOnlyIfAlone(t *testing.T) {
+	for daemons, want := range map[int]bool{1: true, 2: false} {
+		inFleet(t, daemons, func(f *testFleet) {
+			d := f.daemons[0]
+			d.registry.Load().Observe(f.entry.Endpoint, ratelimit.Observation{PerSecond: 1, SentAt: time.Now(), ReceivedAt: time.Now()})
+			f.set(func() { d.alive = nil })
+			granted := false
+			for range 50 {
+				time.Sleep(100 * time.Millisecond)
+				granted = granted || d.registry.Load().Acquire(t.Context(), f.entry, 0, "r")
+			}
+			if granted != want {
+				t.Errorf("one of %d daemons, leaving, without others in its view: granted %t, want %t", daemons, granted, want)
+			}
+		})
+	}
+}
--- a/internal/app/permits/permits.go
+++ b/internal/app/permits/permits.go
@@ -204,8 +204,9 @@
 }
 
 // grantor returns the daemon that grants the permits for an endpoint: the first live one,
-// in an order that all daemons with the same view share. It returns false until this
-// daemon knows the others, since it would take itself for the grantor.
+// in an order that all daemons with the same view share, or this one if it leaves as the
+// last. It returns false until this daemon knows the others, since it would take itself for
+// the grantor.
 func (r *Registry) grantor(e endpoints.Entry) (fleet.Member, bool) {
 	select {
 	case <-r.Joined():
@@ -217,7 +218,24 @@
 			return m, true
 		}
 	}
-	return fleet.Member{}, false
+	return fleet.Member{ID: r.Self}, r.leavesAlone()
+}
+
+// leavesAlone reports whether this daemon is leaving, which takes it out of its own view,
+// and no other daemon may grant permits.
+func (r *Registry) leavesAlone() bool { return len(r.Fleet().Alive) == 0 && r.DaemonCount() <= 1 }
+
+// reached returns the number of daemons among which this one is the grantor.
+func (r *Registry) reached() (reached int) {
+	for _, m := range r.Fleet().Alive {
+		if m.GrantsPermits {
+			reached++
+		}
+	}
+	if r.leavesAlone() {
+		return 1
+	}
+	return reached
 }
 
 // HandlePermit answers another daemon's request for a permit. A daemon that is not the
@@ -273,14 +291,8 @@
 // as not reached.
 func (r *Registry) grant(k *endpointLimit, req *Request) *Reply {
 	now := r.Now()
-	reached := 0
-	for _, m := range r.Fleet().Alive {
-		if m.GrantsPermits {
-			reached++
-		}
-	}
 	all := max(r.DaemonCount(), 1)
-	perSecond := k.perSecond * float64(min(reached, all)) / float64(all)
+	perSecond := k.perSecond * float64(min(r.reached(), all)) / float64(all)
 	r.buckets.mu.Lock()
 	defer r.buckets.mu.Unlock()
 	b := r.buckets.byEndpoint[k.entry.ID]
