--- a/internal/edge/lifecycle.go
+++ b/internal/edge/lifecycle.go
@@ -74,7 +74,8 @@
 
 // stop shuts the daemon down. It makes the readiness check fail and announces the leave
 // to the other daemons, serves new requests until the load balancer has noticed, and
-// waits for the requests in progress. Those that are left at the end are aborted: the end
+// waits for the requests in progress and the stage tasks of other daemons that have started
+// here. Requests that are left at the end are aborted: the end
 // of the process would close their connections without an answer, and in order, which
 // ends a stream of a caller of HTTP/1.0.
 func (d *Daemon) stop(callers *graceful.Server, abortRequests context.CancelCauseFunc) {
@@ -85,6 +86,9 @@
 	plan := planStop(noticed, delay, seconds(d.settings.StopWithinS))
 	d.stopPlan.Store(&plan)
 	defer d.stopReport.begin(noticed, plan.End, delay)()
+	if n := d.coordinator.HandBack(); n > 0 {
+		d.log.Info().Int("stage_tasks", n).Msg("stage_tasks_handed_back")
+	}
 	callers.AnnounceStop()
 	ctx, cancel := context.WithDeadline(context.Background(), plan.End)
 	defer cancel()
@@ -107,6 +111,9 @@
 			_ = callers.Close()
 		}
 	}
+	if unfinished := d.stageClient.Finish(ctx); unfinished > 0 {
+		d.log.Warn().Int("stage_tasks", unfinished).Msg("stage_tasks_cut")
+	}
 }
 
 // linger waits until the process has run for d or ctx has ended. Time in which the
