Log why a peer is lost and what a dropped connection costs

"Coordinator lost" in a stage_again line could mean that this daemon had dropped the connection for slow exchanges, that the coordinator refused the task because it was stopping, or that it was down, and peer_lost did not say whether the peer's end was planned.

- peer_leaving when a peer announces its stop; peer_lost has reason (silence or restart), leaving, for how long that was known, and failures.
- peer_connection_dropped with the stage tasks that fail with the connection and the failed exchanges; five lines a second, none for peers that are down and carry no task.
- stage_again has the cause for which the coordinator counts as lost.
- eelgrass_peer_losses_by_reason_total, eelgrass_peer_connections_dropped_total, eelgrass_peer_tasks_dropped_total.

--- a/cmd/eelgrassd/main.go
+++ b/cmd/eelgrassd/main.go
@@ -10,6 +10,8 @@
 	"os/signal"
 	"syscall"
 
+	"github.com/rs/zerolog"
+
 	"eelgrassgrade/internal/adapter/telemetry"
 	"eelgrassgrade/internal/daemon"
 	"eelgrassgrade/internal/edge"
@@ -73,6 +75,15 @@
 	// on an idle connection. Their lines go to the same output.
 	log.SetFlags(0)
 	log.SetOutput(logger)
+	if err := serve(path, logger, options, signals); err != nil {
+		// Standard error may go elsewhere than the log.
+		logger.Error().Err(err).Msg("daemon_failed")
+		return err
+	}
+	return nil
+}
+
+func serve(path string, logger zerolog.Logger, options *settings.HostedOptions, signals <-chan os.Signal) error {
 	d, err := edge.New(context.Background(), path, logger, options.Apply)
 	if err != nil {
 		return err
--- a/internal/adapter/fleetrpc/fleetrpc.go
+++ b/internal/adapter/fleetrpc/fleetrpc.go
@@ -55,11 +55,13 @@
 
 	mu    sync.Mutex
 	conns map[string]*grpc.ClientConn
+	// tasks counts the stage tasks in progress at each address that has any.
+	tasks map[string]int
 }
 
 // NewClient returns a client without connections.
 func NewClient(now func() time.Time) *Client {
-	return &Client{now: now, conns: map[string]*grpc.ClientConn{}}
+	return &Client{now: now, conns: map[string]*grpc.ClientConn{}, tasks: map[string]int{}}
 }
 
 // fleetClient returns a gRPC client for the daemon with the address. It reuses the
@@ -86,14 +88,16 @@
 }
 
 // Drop implements fleet.Transport.
-func (c *Client) Drop(address string) {
+func (c *Client) Drop(address string) (tasks int) {
 	c.mu.Lock()
 	conn := c.conns[address]
+	tasks = c.tasks[address]
 	delete(c.conns, address)
 	c.mu.Unlock()
 	if conn != nil {
 		conn.Close()
 	}
+	return tasks
 }
 
 // Exchange implements fleet.Transport.
@@ -135,6 +139,7 @@
 
 // Submit implements stagework.Coordinators.
 func (c *Client) Submit(ctx context.Context, address string, group int, t *stagework.Task) ([]stagework.Result, error) {
+	defer c.taskStarted(address)()
 	p, err := c.fleetClient(address)
 	if err == nil {
 		ctx, cancel := context.WithCancel(ctx)
--- a/internal/adapter/fleetrpc/fleetrpc_test.go
+++ b/internal/adapter/fleetrpc/fleetrpc_test.go
@@ -30,7 +30,9 @@
 type fakePorts struct{}
 
 func (fakePorts) PeerAlive(fleet.Member)                                                           {}
-func (fakePorts) PeerLost(fleet.Member, time.Duration)                                             {}
+func (fakePorts) PeerLost(fleet.Member, fleet.Loss)                                                {}
+func (fakePorts) PeerLeaving(fleet.Member)                                                         {}
+func (fakePorts) ConnectionDropped(fleet.Member, fleet.Drop)                                       {}
 func (fakePorts) CallStarted(core.PoolID, core.InstanceID, []stagework.Piece, int, float64)        {}
 func (fakePorts) CallEnded(core.PoolID, core.InstanceID, int, time.Duration, time.Duration, error) {}
 func (fakePorts) TaskEnded(*stagework.Task, string, time.Duration, error)                          {}
@@ -75,6 +77,7 @@
 	coordinator *stagework.Coordinator
 	received    chan *fleet.Status
 	stopping    atomic.Bool
+	server      *Server
 }
 
 func startDaemon(t *testing.T) *daemon {
@@ -88,6 +91,7 @@
 		Source: func() *fleet.Status { return &fleet.Status{Tables: map[string]core.CopyPosition{"t": at(7)}} }, OnStatus: func(s *fleet.Status) { d.received <- s }})
 	d.fleet = f
 	s := NewServer(f, []*mirror.Table{d.table}, d.coordinator, fakePorts{}, time.Now, d.stopping.Load)
+	d.server = s
 	go func() {
 		if err := s.Serve(l); err != nil {
 			t.Error(err)
--- a/internal/adapter/fleetrpc/tasks.go
+++ b/internal/adapter/fleetrpc/tasks.go
@@ -42,3 +42,18 @@
 // PeerTasks returns the requests of the stage tasks that other daemons have submitted and
 // that wait or run, one entry for each task.
 func (s *Server) PeerTasks() []core.RequestID { return s.tasks.requests() }
+
+// taskStarted counts a task that is submitted to an address, until the returned function is
+// called.
+func (c *Client) taskStarted(address string) (ended func()) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.tasks[address]++
+	return func() {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		if c.tasks[address]--; c.tasks[address] == 0 {
+			delete(c.tasks, address)
+		}
+	}
+}
--- a/internal/adapter/telemetry/hosted.go
+++ b/internal/adapter/telemetry/hosted.go
@@ -11,7 +11,6 @@
 	"golang.org/x/time/rate"
 
 	"eelgrassgrade/internal/app/endpoints"
-	"eelgrassgrade/internal/app/fleet"
 	"eelgrassgrade/internal/app/forward"
 	"eelgrassgrade/internal/app/mirror"
 	"eelgrassgrade/internal/app/stagework"
@@ -25,7 +24,6 @@
 	_ forward.Events   = (*HostedRecorder)(nil)
 	_ stagework.Events = (*HostedRecorder)(nil)
 	_ mirror.Events    = (*HostedRecorder)(nil)
-	_ fleet.Events     = (*HostedRecorder)(nil)
 )
 
 // HostedRecorder logs and counts the decisions of a daemon that forwards
@@ -51,6 +49,8 @@
 	coldEndpoints, unreadableCold *rate.Limiter
 	clients                       *clientGauges
 	stop                          *stopTally
+	// droppedConnections bounds the lines about dropped connections to peers.
+	droppedConnections *rate.Limiter
 
 	mu sync.Mutex
 	// reported holds the conditions that were last logged as present.
@@ -65,7 +65,7 @@
 // the next second are sampled.
 func NewHostedRecorder(log zerolog.Logger, set *metrics.Set, linesPerSecond int) *HostedRecorder {
 	h := &HostedRecorder{log: log, set: set, requests: NewRequestRecorder(set, log), linesPerSecond: int64(linesPerSecond), unreadableLimits: rate.NewLimiter(1, 1),
-		coldEndpoints: rate.NewLimiter(20, 100), unreadableCold: rate.NewLimiter(1, 1), clients: newClientGauges(set), stop: newStopTally(linesPerSecond), reported: map[string]bool{}}
+		coldEndpoints: rate.NewLimiter(20, 100), unreadableCold: rate.NewLimiter(1, 1), clients: newClientGauges(set), stop: newStopTally(linesPerSecond), droppedConnections: rate.NewLimiter(5, 20), reported: map[string]bool{}}
 	h.sampleShare.Store(sampleScale)
 	return h
 }
@@ -304,7 +304,8 @@
 // PieceRepeated implements stagework.Events.
 func (h *HostedRecorder) PieceRepeated(t *stagework.Task, reason string, allowed bool, budget *repeats.Decision) {
 	h.set.GetOrCreateCounter(fmt.Sprintf(`eelgrass_repeats_total{pool=%q,reason=%q,allowed="%t"}`, t.Pool, reason, allowed)).Inc()
-	addBudget(h.log.Info(), budget).Str("request", string(t.Request)).Str("pool", string(t.Pool)).Int("stage", t.Stage).Str("reason", reason).Bool("allowed", allowed).Msg("stage_again")
+	addBudget(h.log.Info(), budget).Str("request", string(t.Request)).Str("pool", string(t.Pool)).Int("stage", t.Stage).Str("reason", reason).Bool("allowed", allowed).
+		AnErr("cause", t.CoordinatorErr).Msg("stage_again")
 }
 
 // addBudget adds what a retry budget decided on to a line, unless it is nil.
@@ -350,17 +351,6 @@
 	h.log.Info().Str("table", table).Int64("outage_ms", outage.Milliseconds()).Msg("store_regained")
 }
 
-// PeerAlive implements fleet.Events.
-func (h *HostedRecorder) PeerAlive(m fleet.Member) {
-	h.log.Info().Str("peer", string(m.ID)).Str("address", m.Address).Str("dc", string(m.DataCenter)).Msg("peer_alive")
-}
-
-// PeerLost implements fleet.Events.
-func (h *HostedRecorder) PeerLost(m fleet.Member, silent time.Duration) {
-	h.set.GetOrCreateCounter(`eelgrass_peer_losses_total`).Inc()
-	h.log.Warn().Str("peer", string(m.ID)).Str("address", m.Address).Int64("silent_ms", silent.Milliseconds()).Msg("peer_lost")
-}
-
 // EndpointsChanged logs changes of the endpoint list. list is the revision of the store that
 // has them.
 func (h *HostedRecorder) EndpointsChanged(changes []endpoints.Change, list core.StoreRevision) {
--- a/internal/adapter/telemetry/stop_test.go
+++ b/internal/adapter/telemetry/stop_test.go
@@ -3,12 +3,14 @@
 import (
 	"bytes"
 	"fmt"
+	"io"
 	"strings"
 	"testing"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
 
+	"eelgrassgrade/internal/app/fleet"
 	"eelgrassgrade/internal/app/forward"
 	"eelgrassgrade/internal/core"
 )
@@ -70,3 +72,25 @@
 		}
 	}
 }
+
+// Guards against the loss of a peer whose line does not say why its stage tasks fail, and
+// against lines for each attempt to reach a peer that is down.
+func TestLostPeersAreLoggedWithTheirReason(t *testing.T) {
+	var b bytes.Buffer
+	h := NewHostedRecorder(NewLogger(&b), metrics.NewSet(), 50)
+	m := fleet.Member{ID: "d1", Address: "a:1"}
+	h.PeerLeaving(m)
+	h.PeerLost(m, fleet.Loss{Reason: fleet.LossRestarted, Silent: 600 * time.Millisecond, Leaving: true, LeavingFor: 4 * time.Second})
+	for range 100 {
+		h.ConnectionDropped(m, fleet.Drop{Failures: 2})
+		h.ConnectionDropped(m, fleet.Drop{Failures: 2, Tasks: 3, Alive: true, Took: 412 * time.Millisecond, Silent: 900 * time.Millisecond, Err: io.ErrUnexpectedEOF})
+	}
+	for _, want := range []string{"event=peer_leaving", "leaving=true leaving_ms=4000 peer=d1 reason=restart silent_ms=600", `cause="unexpected EOF" failures=2 peer=d1 silent_ms=900 tasks=3 took_ms=412`} {
+		if !strings.Contains(b.String(), want) {
+			t.Errorf("the log lacks %s", want)
+		}
+	}
+	if n := strings.Count(b.String(), "peer_connection_dropped"); n > 25 {
+		t.Errorf("%d lines of 100 dropped connections with tasks and 100 without", n)
+	}
+}
--- a/internal/app/fleet/fleet.go
+++ b/internal/app/fleet/fleet.go
@@ -169,8 +169,9 @@
 // Transport sends messages to other daemons.
 type Transport interface {
 	Exchange(ctx context.Context, address string, s *Status) (*Status, error)
-	// Drop closes the connection to the address; the next call opens another.
-	Drop(address string)
+	// Drop closes the connection to the address; the next call opens another. It returns
+	// the number of stage tasks in progress on the connection, which fail.
+	Drop(address string) (tasks int)
 	// Announce announces a long prompt to the daemon at the address.
 	Announce(ctx context.Context, address string, r Prefill) error
 }
@@ -182,9 +183,13 @@
 // Events receives membership changes.
 type Events interface {
 	PeerAlive(m Member)
-	// PeerLost reports that a peer is no longer alive. silent is the time since its last
-	// status.
-	PeerLost(m Member, silent time.Duration)
+	// PeerLost reports that a peer is no longer alive.
+	PeerLost(m Member, l Loss)
+	// PeerLeaving reports that a peer has announced its planned stop.
+	PeerLeaving(m Member)
+	// ConnectionDropped reports that the connection to a peer was closed because exchanges
+	// with it fail.
+	ConnectionDropped(m Member, d Drop)
 }
 
 type peer struct {
@@ -204,7 +209,10 @@
 	contacted bool
 	alive     bool
 	listed    bool
-	lost      chan struct{}
+	// leavingSince is when a status first announced the peer's planned stop; zero if none
+	// has.
+	leavingSince time.Time
+	lost         chan struct{}
 	// watchers counts the unstopped Watch calls, and watchedAt is the time of the first
 	// of them.
 	watchers  int
--- a/internal/app/fleet/fleet_test.go
+++ b/internal/app/fleet/fleet_test.go
@@ -56,8 +56,9 @@
 	return nil
 }
 
-func (n *network) Drop(string) {
+func (n *network) Drop(string) int {
 	n.drops.Add(1)
+	return 0
 }
 
 func (n *network) setCut(address string, cut bool) {
@@ -75,7 +76,9 @@
 type noEvents struct{}
 
 func (noEvents) PeerAlive(Member)               {}
-func (noEvents) PeerLost(Member, time.Duration) {}
+func (noEvents) PeerLost(Member, Loss)          {}
+func (noEvents) PeerLeaving(Member)             {}
+func (noEvents) ConnectionDropped(Member, Drop) {}
 
 func member(i int) Member {
 	return Member{ID: core.InstanceID(fmt.Sprint("d", i)), Address: fmt.Sprint("a", i)}
--- a/internal/app/fleet/schedule.go
+++ b/internal/app/fleet/schedule.go
@@ -151,24 +151,29 @@
 
 func (f *Fleet) exchange(ctx context.Context, p *peer, status *Status) {
 	callCtx, cancel := context.WithTimeout(ctx, exchangeTimeout)
+	began := f.now()
 	reply, err := f.transport.Exchange(callCtx, p.address, status)
 	cancel()
 	f.mu.Lock()
 	p.inExchange = false
-	drop := false
+	var dropped *Drop
 	if err != nil {
 		if p.failures++; p.failures == 1 {
 			// One exchange may fail because of a lost packet. Resetting triedAt keeps the
 			// retry from being queued behind the exchanges with all other peers.
 			p.triedAt = time.Time{}
 		}
-		drop = p.failures%reconnectAfter == 0
+		if p.failures%reconnectAfter == 0 {
+			dropped = &Drop{Failures: p.failures, Took: f.now().Sub(began), Silent: f.silence(p), Alive: p.alive, Err: err}
+		}
 	} else {
 		p.failures = 0
 	}
+	member := p.member
 	f.mu.Unlock()
-	if drop {
-		f.transport.Drop(p.address)
+	if dropped != nil {
+		dropped.Tasks = f.transport.Drop(p.address)
+		f.events.ConnectionDropped(member, *dropped)
 	}
 	if err == nil {
 		f.receive(reply)
--- a/internal/app/fleet/status.go
+++ b/internal/app/fleet/status.go
@@ -103,7 +103,7 @@
 		before = nil
 	} else if s.Incarnation != p.status.Incarnation {
 		// The daemon was restarted, so the work it had in progress is gone.
-		f.markLost(p)
+		f.markLost(p, LossRestarted)
 		before, changed = nil, true
 	}
 	changed = changed || !p.alive || before.Leaving != s.Leaving || p.member != s.Member
@@ -122,6 +122,7 @@
 		// its age is worth.
 		f.viewOutdated.Store(true)
 	}
+	f.noteLeaving(p)
 	if newcomer = !p.alive; newcomer {
 		p.alive = true
 		f.events.PeerAlive(p.member)
@@ -148,7 +149,7 @@
 
 // markLost marks a daemon as lost and removes it from the totals. The caller holds mu
 // and publishes a view afterwards.
-func (f *Fleet) markLost(p *peer) {
+func (f *Fleet) markLost(p *peer, reason LossReason) {
 	close(p.lost)
 	p.lost = make(chan struct{})
 	if !p.alive {
@@ -157,7 +158,7 @@
 	p.alive, p.prefills = false, nil
 	f.totals.replace(p.status, f.sinceStart(p.receivedAt), nil, 0)
 	f.findNewest()
-	f.events.PeerLost(p.member, f.now().Sub(p.receivedAt))
+	f.events.PeerLost(p.member, f.lossOf(p, reason))
 }
 
 // findNewest recomputes the newest position of each table from all live peers. The caller
@@ -183,7 +184,7 @@
 	now := f.now()
 	for _, p := range f.peers {
 		if p.alive && f.isSilent(p, now) {
-			f.markLost(p)
+			f.markLost(p, LossSilent)
 			f.viewOutdated.Store(true)
 		}
 	}
--- a/internal/app/stagework/client.go
+++ b/internal/app/stagework/client.go
@@ -215,6 +215,7 @@
 			c.events.TaskEnded(t, string(m.ID), c.now().Sub(began), err)
 			return results, err
 		}
+		t.CoordinatorErr = lossCause(err)
 		c.events.PieceRepeated(t, "coordinator "+string(m.ID)+" lost", true, nil)
 		t.MayHaveRun = t.MayHaveRun || t.Started()
 	}
@@ -258,6 +259,9 @@
 		}
 	}()
 	results, err := c.remote.Submit(callCtx, m.Address, group, t)
+	if isClosed(lost) {
+		err = nameLostPeer(err)
+	}
 	if err != nil && ctx.Err() != nil {
 		return nil, &core.Error{Kind: core.DeadlineExceeded, Step: "stage", Peer: string(m.ID), Ran: core.RanNot, Detail: "the caller disconnected or the deadline passed", Err: ctx.Err()}
 	}
--- a/internal/app/stagework/client_test.go
+++ b/internal/app/stagework/client_test.go
@@ -19,10 +19,12 @@
 func (noPeers) Exchange(context.Context, string, *fleet.Status) (*fleet.Status, error) {
 	return nil, context.Canceled
 }
-func (noPeers) Drop(string)                                           {}
+func (noPeers) Drop(string) int                                       { return 0 }
 func (noPeers) Announce(context.Context, string, fleet.Prefill) error { return nil }
 func (noPeers) PeerAlive(fleet.Member)                                {}
-func (noPeers) PeerLost(fleet.Member, time.Duration)                  {}
+func (noPeers) PeerLost(fleet.Member, fleet.Loss)                     {}
+func (noPeers) PeerLeaving(fleet.Member)                              {}
+func (noPeers) ConnectionDropped(fleet.Member, fleet.Drop)            {}
 
 // withClient runs f in virtual time with a client whose own daemon coordinates all groups.
 func withClient(t *testing.T, endpointCount int, f func(*simulation, *Client)) {
--- a/internal/app/stagework/ports.go
+++ b/internal/app/stagework/ports.go
@@ -58,6 +58,8 @@
 	// OnStart is called once, before the first piece is sent to an endpoint. It must not
 	// block.
 	OnStart func()
+	// CoordinatorErr says why the last coordinator counts as lost; nil if none does.
+	CoordinatorErr error
 
 	started atomic.Bool
 }
