--- a/internal/adapter/telemetry/stop.go
+++ b/internal/adapter/telemetry/stop.go
@@ -54,7 +54,7 @@
 	// began is when the stop began; nil unless the daemon is stopping.
 	began atomic.Pointer[time.Time]
 	// endLines bounds the request_ended lines beyond the sampled ones, closeLines the
-	// connection_closed lines.
+	// connection_closed and request_unread lines.
 	endLines, closeLines *rate.Limiter
 	closeLinesDropped    atomic.Int64
 
@@ -155,6 +155,16 @@
 		Int64("lines_dropped", h.stop.closeLinesDropped.Swap(0)).Msg("connection_closed")
 }
 
+// RequestUnread logs a request that was refused before it was read, if the daemon is
+// stopping. ClientsRefused counts all of them.
+func (h *HostedRecorder) RequestUnread(r *forward.InProgress, reason string) {
+	age, stopping := h.stop.age()
+	if !stopping || !h.stop.closeLines.Allow() {
+		return
+	}
+	addInProgress(h.log.Info().Int64("stop_ms", age.Milliseconds()), "", r, time.Now()).Str("reason", reason).Msg("request_unread")
+}
+
 // addInProgress adds a request in progress to a line, in fields that begin with prefix.
 func addInProgress(line *zerolog.Event, prefix string, r *forward.InProgress, now time.Time) *zerolog.Event {
 	line = line.Str(prefix+"request", string(r.ID)).Stringer(prefix+"phase", r.Phase()).Int64(prefix+"age_ms", now.Sub(r.Arrived).Milliseconds())
--- a/internal/app/forward/attempt.go
+++ b/internal/app/forward/attempt.go
@@ -147,6 +147,14 @@
 	rs.req.InProgress.Enter(PhaseFirstEvent)
 }
 
+// endPhase returns the phase in which a request ended.
+func (rs *requestState) endPhase() Phase {
+	if rs.outcome.Err == nil && !rs.outcome.Cut {
+		return PhaseDone
+	}
+	return rs.req.InProgress.Phase()
+}
+
 // explainChoice describes the choice of the first of the candidates.
 func (f *Forwarder) explainChoice(candidates []placement.Candidate) Choice {
 	c := Choice{Endpoint: candidates[0].Endpoint, Running: candidates[0].Running, PrefillTokens: candidates[0].PrefillTokens, AffinityRank: candidates[0].AffinityRank, UncachedTokens: candidates[0].UncachedTokens, Candidates: len(candidates)}
--- a/internal/app/forward/forward.go
+++ b/internal/app/forward/forward.go
@@ -234,10 +234,7 @@
 		rs.outcome.Route, rs.outcome.Pool, rs.outcome.Account, rs.outcome.Rank = rs.route, rs.pool, rs.account, rs.rank
 		rs.outcome.Total = f.now().Sub(r.Arrived)
 		rs.outcome.Err, rs.outcome.Cut = err, cut || rs.outcome.Cut
-		if err == nil && !rs.outcome.Cut {
-			r.InProgress.Enter(PhaseDone)
-		}
-		rs.outcome.Phase = r.InProgress.Phase()
+		rs.outcome.Phase = rs.endPhase()
 		rs.outcome.CallerLeft = callerCtx.Err() != nil && context.Cause(callerCtx) != ErrStopping
 		f.events.RequestEnded(&rs.outcome)
 	}()
--- a/internal/ctl/explain.go
+++ b/internal/ctl/explain.go
@@ -18,8 +18,8 @@
 
 // stateEvents are the log events that record a change of a daemon's own state or of
 // its view of other components. They belong to no single request.
-var stateEvents = []string{"store_lost", "store_regained", "peer_lost", "peer_alive", "endpoint_health", "endpoint_listed", "config_in_force",
-	"config_unreadable", "started", "stopping", "stopped", "reloaded", "requests_cut", "log_lines_dropped", "log_lines_lost"}
+var stateEvents = []string{"store_lost", "store_regained", "peer_lost", "peer_alive", "peer_leaving", "peer_connection_dropped", "endpoint_health", "endpoint_listed", "config_in_force",
+	"config_unreadable", "started", "stopping", "stop_progress", "stopped", "daemon_failed", "reloaded", "requests_cut", "requests_abandoned", "log_lines_dropped", "log_lines_lost"}
 
 // logLine is one line of a daemon's log.
 type logLine struct {
--- a/internal/ctl/losses.go
+++ b/internal/ctl/losses.go
@@ -62,6 +62,7 @@
 	reasons map[[2]string]int
 	// droppedLines is the number of lines that are missing in the logs.
 	droppedLines int
+	stops        stopTable
 }
 
 func setupLosses(t *tool, fs *flag.FlagSet) func(context.Context, []string) error {
@@ -85,6 +86,7 @@
 // addLine counts the request or the dropped lines that a log line reports. Lines of
 // other events are ignored.
 func (l *lossReport) addLine(timestamp time.Time, line string) {
+	l.stops.addLine(timestamp, line)
 	switch logField(line, "event") {
 	case "log_lines_dropped", "log_lines_lost":
 		n, _ := strconv.Atoi(logField(line, "lines"))
@@ -163,6 +165,7 @@
 	for _, r := range reasons {
 		t.printf("%-24s %7d  %s\n", r[0], l.reasons[r], r[1])
 	}
+	l.stops.print(t)
 	if l.droppedLines > 0 {
 		t.printf("\n%d lines were left out of the logs; requests that ended in time may be missing\n", l.droppedLines)
 	}
--- a/internal/ctl/losses_test.go
+++ b/internal/ctl/losses_test.go
@@ -22,6 +22,12 @@
 		"time=2026-01-01T00:00:02.8Z " + end + "route=r2 outcome=caller_left ran=unknown step=stage",
 		"time=2026-01-01T00:00:02.9Z level=warn event=log_lines_dropped daemon=d1 lines=36",
 		"time=2026-01-01T00:00:02.9Z level=warn event=log_lines_lost lines=4",
+		"time=2026-01-01T00:00:03.0Z level=info event=stopping daemon=d1",
+		"time=2026-01-01T00:00:03.1Z level=warn event=connection_closed daemon=d1 reason=stop request=x",
+		"time=2026-01-01T00:00:03.1Z level=info event=connection_closed daemon=d1 reason=caller request=y",
+		"time=2026-01-01T00:00:03.2Z level=warn event=stopped daemon=d1 abandoned=0 answered=7 caller_left=1 cut=1 failed=2 peer_tasks=4 refused=3 took_ms=200",
+		"time=2026-01-01T00:00:04.0Z level=info event=started daemon=d1",
+		"time=2026-01-01T00:00:05.0Z level=info event=stopping daemon=d1",
 		"a line without a time",
 	}
 	name := filepath.Join(t.TempDir(), "log")
@@ -43,6 +49,8 @@
 		"00:00:02.000 5 1 0 0 1 1 1 1 1",
 		"r2 1 unavailable at step admission",
 		"r2 1 upstream at step send",
+		"d1 00:00:03.000 200 7 3 2 1 1 0 4 1",
+		"d1 00:00:05.000 - - - - - - - - 0 no stopped line: the process was killed, or its log is cut",
 		"40 lines were left out of the logs; requests that ended in time may be missing",
 	} {
 		found := false
--- a/internal/edge/sockets.go
+++ b/internal/edge/sockets.go
@@ -55,7 +55,7 @@
 // callerServer returns the server for callers. Its requests have the context base.
 func (s *sockets) callerServer(base context.Context) *callerServer {
 	d := s.daemon
-	handler := &platform.CallerHandler{Service: d.forward, Limits: d.callerLimits, Memory: d.memory, Rank: d.forward.Rank, Refused: s.callers.refused, Progress: &d.progress, Now: time.Now}
+	handler := &platform.CallerHandler{Service: d.forward, Limits: d.callerLimits, Memory: d.memory, Rank: d.forward.Rank, Refused: s.callers.refused, Unread: d.telemetry.RequestUnread, Progress: &d.progress, Now: time.Now}
 	server := &http.Server{BaseContext: func(net.Listener) context.Context { return base }, Handler: handler, MaxHeaderBytes: maxHeaderBytes,
 		// Otherwise net/http answers OPTIONS * itself, with a success that no endpoint gave.
 		DisableGeneralOptionsHandler: true,
