--- a/internal/adapter/telemetry/hosted.go
+++ b/internal/adapter/telemetry/hosted.go
@@ -49,8 +49,8 @@
 	coldEndpoints, unreadableCold *rate.Limiter
 	clients                       *clientGauges
 	stop                          *stopTally
-	// droppedConnections bounds the lines about dropped connections to peers.
-	droppedConnections *rate.Limiter
+	// connectionLines bounds the lines about connections to peers.
+	connectionLines *rate.Limiter
 
 	mu sync.Mutex
 	// reported holds the conditions that were last logged as present.
@@ -65,7 +65,7 @@
 // the next second are sampled.
 func NewHostedRecorder(log zerolog.Logger, set *metrics.Set, linesPerSecond int) *HostedRecorder {
 	h := &HostedRecorder{log: log, set: set, requests: NewRequestRecorder(set, log), linesPerSecond: int64(linesPerSecond), unreadableLimits: rate.NewLimiter(1, 1),
-		coldEndpoints: rate.NewLimiter(20, 100), unreadableCold: rate.NewLimiter(1, 1), clients: newClientGauges(set), stop: newStopTally(linesPerSecond), droppedConnections: rate.NewLimiter(5, 20), reported: map[string]bool{}}
+		coldEndpoints: rate.NewLimiter(20, 100), unreadableCold: rate.NewLimiter(1, 1), clients: newClientGauges(set), stop: newStopTally(linesPerSecond), connectionLines: rate.NewLimiter(5, 20), reported: map[string]bool{}}
 	h.sampleShare.Store(sampleScale)
 	return h
 }
--- a/internal/adapter/telemetry/peers.go
+++ b/internal/adapter/telemetry/peers.go
@@ -30,14 +30,22 @@
 	line.Msg("peer_lost")
 }
 
-// ConnectionDropped implements fleet.Events. It logs drops that cost stage tasks or concern
-// a peer that counts as alive; a peer that is down is dropped again and again.
-func (h *HostedRecorder) ConnectionDropped(m fleet.Member, d fleet.Drop) {
-	h.set.GetOrCreateCounter(`eelgrass_peer_connections_dropped_total`).Inc()
-	h.set.GetOrCreateCounter(`eelgrass_peer_tasks_dropped_total`).Add(d.Tasks)
-	if d.Tasks == 0 && !d.Alive || !h.droppedConnections.Allow() {
+// ConnectionReplaced implements fleet.Events. It logs replacements that concern calls in
+// progress or a peer that counts as alive; to a peer that is down, connections are replaced
+// again and again.
+func (h *HostedRecorder) ConnectionReplaced(m fleet.Member, r fleet.Replacement) {
+	h.set.GetOrCreateCounter(`eelgrass_peer_connections_replaced_total`).Inc()
+	if r.Calls == 0 && !r.Alive || !h.connectionLines.Allow() {
 		return
 	}
-	h.log.Warn().Str("peer", string(m.ID)).Str("address", m.Address).Int("tasks", d.Tasks).Int("failures", d.Failures).
-		Int64("took_ms", d.Took.Milliseconds()).Int64("silent_ms", d.Silent.Milliseconds()).Bool("alive", d.Alive).AnErr("cause", d.Err).Msg("peer_connection_dropped")
+	h.log.Warn().Str("peer", string(m.ID)).Str("address", m.Address).Int("calls", r.Calls).Int("failures", r.Failures).
+		Int64("took_ms", r.Took.Milliseconds()).Int64("silent_ms", r.Silent.Milliseconds()).Bool("alive", r.Alive).AnErr("cause", r.Err).Msg("peer_connection_replaced")
+}
+
+// PeerCallsCut reports calls that fail because a replaced connection was closed.
+func (h *HostedRecorder) PeerCallsCut(address string, calls int, reason string) {
+	h.set.GetOrCreateCounter(fmt.Sprintf(`eelgrass_peer_calls_cut_total{reason=%q}`, reason)).Add(calls)
+	if h.connectionLines.Allow() {
+		h.log.Warn().Str("address", address).Int("calls", calls).Str("reason", reason).Msg("peer_calls_cut")
+	}
 }
--- a/internal/app/fleet/fleet.go
+++ b/internal/app/fleet/fleet.go
@@ -38,6 +38,10 @@
 	// reconnectAfter is the number of consecutive failed exchanges after which the
 	// connection is replaced: an open connection may be dead while new ones work.
 	reconnectAfter = 2
+	// watchedPeerInterval is the time within which an exchange with a watched peer is
+	// started although the peer starts exchanges itself: these do not show whether the
+	// connection to it, on which work waits, is dead.
+	watchedPeerInterval = 2 * exchangeInterval
 	// forgetUnlistedAfter is how long a silent daemon that is not in the platform's
 	// list is still tried.
 	forgetUnlistedAfter = time.Minute
@@ -169,9 +173,9 @@
 // Transport sends messages to other daemons.
 type Transport interface {
 	Exchange(ctx context.Context, address string, s *Status) (*Status, error)
-	// Drop closes the connection to the address; the next call opens another. It returns
-	// the number of stage tasks in progress on the connection, which fail.
-	Drop(address string) (tasks int)
+	// Reconnect makes later calls to the address open another connection. Calls in progress
+	// go on unless the daemon answers only on the new connection. It returns their number.
+	Reconnect(address string) (calls int)
 	// Announce announces a long prompt to the daemon at the address.
 	Announce(ctx context.Context, address string, r Prefill) error
 }
@@ -187,9 +191,9 @@
 	PeerLost(m Member, l Loss)
 	// PeerLeaving reports that a peer has announced its planned stop.
 	PeerLeaving(m Member)
-	// ConnectionDropped reports that the connection to a peer was closed because exchanges
-	// with it fail.
-	ConnectionDropped(m Member, d Drop)
+	// ConnectionReplaced reports that new calls to a peer use another connection, because
+	// exchanges with it fail.
+	ConnectionReplaced(m Member, r Replacement)
 }
 
 type peer struct {
@@ -200,8 +204,10 @@
 	receivedAt time.Time
 	// triedAt is when the last exchange was started. The first failure in a row resets
 	// it.
-	triedAt    time.Time
-	addedAt    time.Time
+	triedAt time.Time
+	addedAt time.Time
+	// answeredAt is when an exchange that this daemon started was last answered.
+	answeredAt time.Time
 	failures   int
 	inExchange bool
 	// contacted is set once an exchange with the peer has ended, successfully or not,
--- a/internal/app/fleet/loss.go
+++ b/internal/app/fleet/loss.go
@@ -24,8 +24,9 @@
 	Failures int
 }
 
-// Drop describes a connection to a peer that was closed because of failed exchanges.
-type Drop struct {
+// Replacement describes a connection to a peer that new calls no longer use because of
+// failed exchanges.
+type Replacement struct {
 	// Failures is the number of exchanges that have failed in a row, Took the duration of
 	// the last one and Err its error.
 	Failures int
@@ -35,8 +36,9 @@
 	// whether the peer counts as alive.
 	Silent time.Duration
 	Alive  bool
-	// Tasks is the number of stage tasks that were in progress on the connection.
-	Tasks int
+	// Calls is the number of calls in progress on the old connection, stage tasks for the
+	// most part. They go on there.
+	Calls int
 }
 
 // noteLeaving reports the first status of an incarnation that announces a planned stop. The
--- a/internal/edge/clientconn.go
+++ b/internal/edge/clientconn.go
@@ -6,11 +6,11 @@
 	"net/http"
 	"os"
 	"sync"
-	"syscall"
 	"time"
 
 	"eelgrassgrade/internal/app/holding"
 	"eelgrassgrade/internal/decide/clients"
+	"eelgrassgrade/internal/graceful"
 )
 
 const (
@@ -32,8 +32,7 @@
 	net.Conn
 	set *clientConns
 	// full is true if all other connections were in use when it was accepted.
-	full       bool
-	acceptedAt time.Time
+	full bool
 
 	mu       sync.Mutex
 	state    clients.Connection
@@ -43,23 +42,12 @@
 	// read is refused, any other connection is closed.
 	overdue bool
 	closed  bool
-	// closing is set on an idle connection that the server closes unless a request has
-	// arrived. A request that is read unsets it.
-	closing bool
-	// answered is set once a request on the connection was answered.
-	answered bool
-	use      connUse
+	use     connUse
 }
 
 // Read implements net.Conn.
 func (c *clientConn) Read(b []byte) (int, error) {
-	n, err := 0, error(nil)
-	if !c.isClosing() {
-		n, err = c.Conn.Read(b)
-	}
-	if n == 0 && c.isClosing() {
-		n, err = c.readArrived(b)
-	}
+	n, err := c.Conn.Read(b)
 	c.noteRead(err)
 	if n == 0 {
 		return n, err
@@ -77,52 +65,6 @@
 	return n, err
 }
 
-// closeIdle makes the server close the connection if no request has arrived on it. A read
-// in progress decides that, so that no request is lost that it has read.
-func (c *clientConn) closeIdle() {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if c.closed || c.closing || c.state.Phase != clients.Idle {
-		return
-	}
-	c.closing = true
-	// On a connection that is broken the read ends as well.
-	_ = c.Conn.SetReadDeadline(time.Unix(1, 0))
-}
-
-func (c *clientConn) isClosing() bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.closing
-}
-
-// used says whether a request on the connection was answered.
-func (c *clientConn) used() bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.answered
-}
-
-// readArrived reads what has arrived without waiting for more. The server closes the
-// connection without a response if that is nothing.
-func (c *clientConn) readArrived(b []byte) (int, error) {
-	conn, ok := c.Conn.(syscall.Conn)
-	if !ok {
-		return 0, os.ErrDeadlineExceeded
-	}
-	raw, err := conn.SyscallConn()
-	if err != nil {
-		return 0, err
-	}
-	n := 0
-	// The descriptor is in non-blocking mode.
-	err = raw.Control(func(fd uintptr) { n, _ = syscall.Read(int(fd), b) })
-	if err != nil || n <= 0 {
-		return 0, os.ErrDeadlineExceeded
-	}
-	return n, nil
-}
-
 // received records that the client has sent n bytes. It returns the reason if the
 // connection is to be closed.
 func (c *clientConn) received(n int) string {
@@ -135,11 +77,6 @@
 		if c.overdue {
 			return refusedIdle
 		}
-		if c.closing {
-			c.closing = false
-			// If this fails, the next read does too.
-			_ = c.Conn.SetReadDeadline(time.Time{})
-		}
 		c.state.Phase, c.state.Since, c.headSize = clients.ReadingHead, now, n
 	case clients.ReadingHead:
 		c.headSize += n
@@ -202,20 +139,23 @@
 
 // CloseWrite closes the sending side, which net/http does after a refusal.
 func (c *clientConn) CloseWrite() error {
-	if tcp, ok := c.Conn.(*net.TCPConn); ok {
-		return tcp.CloseWrite()
+	if conn, ok := c.Conn.(interface{ CloseWrite() error }); ok {
+		return conn.CloseWrite()
 	}
 	return nil
 }
 
 // SetLinger sets how Close treats data that is not sent yet.
 func (c *clientConn) SetLinger(seconds int) error {
-	if tcp, ok := c.Conn.(*net.TCPConn); ok {
-		return tcp.SetLinger(seconds)
+	if conn, ok := c.Conn.(interface{ SetLinger(int) error }); ok {
+		return conn.SetLinger(seconds)
 	}
 	return nil
 }
 
+// NetConn returns the connection below c, as the method of tls.Conn does.
+func (c *clientConn) NetConn() net.Conn { return c.Conn }
+
 // Close implements net.Conn.
 func (c *clientConn) Close() error {
 	c.mu.Lock()
@@ -261,9 +201,7 @@
 	now := c.set.clock.now()
 	c.state.Phase, c.state.Since, c.state.LastByte = phase, now, now
 	if phase == clients.Idle {
-		c.answered = true
 		c.use.request = nil
-		c.closing = c.set.stopping.Load()
 	}
 	hold := c.headHold
 	c.headHold = nil
@@ -271,13 +209,18 @@
 	hold.Release()
 }
 
-// end ends the use of the connection if the reason still holds. A client that sends a
-// body gets a refusal, since its request certainly did not run.
-func (c *clientConn) end(overdue func(clients.Connection) bool) {
+// end ends the use of the connection if the reason still holds, and reports whether it
+// does so. A connection that waits for a request is closed unless one has arrived. A client
+// that sends a body gets a refusal, since its request certainly did not run.
+func (c *clientConn) end(overdue func(clients.Connection) bool) bool {
 	c.mu.Lock()
 	if c.overdue || c.closed || !overdue(c.state) {
 		c.mu.Unlock()
-		return
+		return false
+	}
+	if conn := graceful.FromConn(c.Conn); conn != nil && c.state.Phase == clients.Idle {
+		c.mu.Unlock()
+		return conn.CloseIfIdle()
 	}
 	c.overdue = true
 	reading := c.state.Phase == clients.ReadingBody && c.state.Writing == 0
@@ -285,11 +228,12 @@
 	c.mu.Unlock()
 	switch {
 	case reading && c.Conn.SetReadDeadline(time.Unix(1, 0)) == nil:
-		return
+		return true
 	case unread:
 		// The rest of the answer must not look like its end, and must not stay in the
 		// system's buffers.
 		_ = c.SetLinger(0)
 	}
 	_ = c.Close()
+	return true
 }
--- a/internal/edge/clientconns.go
+++ b/internal/edge/clientconns.go
@@ -40,15 +40,13 @@
 // interval: what clients sent during the pause has not been read yet.
 type runClock struct {
 	ran atomic.Int64
-	// last is when advance was last called, late how late that was.
-	last atomic.Pointer[time.Time]
-	late atomic.Int64
+	// last is when advance was last called.
+	last time.Time
 }
 
 // newRunClock returns a clock that starts above 0, which stands for no time.
 func newRunClock() *runClock {
-	r, now := &runClock{}, time.Now()
-	r.last.Store(&now)
+	r := &runClock{last: time.Now()}
 	r.ran.Store(int64(sweepInterval))
 	return r
 }
@@ -58,10 +56,8 @@
 // advance adds the time since the last call, which ought to be sweepInterval. Only one
 // goroutine may call it.
 func (r *runClock) advance(now time.Time) {
-	passed := now.Sub(*r.last.Load())
-	r.ran.Add(int64(min(passed, 2*sweepInterval)))
-	r.late.Store(int64(max(passed-sweepInterval, 0)))
-	r.last.Store(&now)
+	r.ran.Add(int64(min(now.Sub(r.last), 2*sweepInterval)))
+	r.last = now
 }
 
 // clientListener is a listener whose connections a clientConns bounds.
@@ -79,8 +75,6 @@
 	times  func() clients.Times
 	// memory is the account for heads; nil for none.
 	memory *holding.Memory
-	// stopping is set once connections are closed after the answer in progress.
-	stopping atomic.Bool
 	// cutting is set once a stopping daemon ends the requests that are still in progress.
 	cutting atomic.Bool
 	// closed is called with each connection that was closed. It may be nil.
@@ -117,7 +111,7 @@
 	if full && s.count() >= s.max+s.max/refusalShare {
 		return nil
 	}
-	c := &clientConn{Conn: conn, set: s, full: full, acceptedAt: time.Now(), state: clients.Connection{Since: now, LastByte: now, Client: host}}
+	c := &clientConn{Conn: conn, set: s, full: full, state: clients.Connection{Since: now, LastByte: now, Client: host}}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.conns[c] = struct{}{}
@@ -153,15 +147,19 @@
 	return conns, states
 }
 
-// makeRoom closes some connections that are not in use, and reports whether there is room.
+// makeRoom closes some connections that are not in use, and reports whether there is room
+// once they are closed.
 func (s *clientConns) makeRoom(now time.Duration) bool {
 	conns, states := s.snapshot()
+	room := s.max - len(conns)
 	for _, i := range clients.Yielding(states, 1+s.max/yieldingShare, now, minSilence) {
 		before := states[i]
-		conns[i].end(func(state clients.Connection) bool { return state == before })
-		s.refused(refusedConnections)
+		if conns[i].end(func(state clients.Connection) bool { return state == before }) {
+			s.refused(refusedConnections)
+			room++
+		}
 	}
-	return s.count() < s.max
+	return room > 0
 }
 
 // refused counts a refusal.
@@ -198,17 +196,6 @@
 	}
 }
 
-// closeIdle closes the connections that wait for a request, unless one has arrived. Those
-// that have carried none yet are closed only once they are older than newTime.
-func (s *clientConns) closeIdle(newTime time.Duration) {
-	conns, states := s.snapshot()
-	for i, c := range conns {
-		if states[i].Phase == clients.Idle && (c.used() || time.Since(c.acceptedAt) > newTime) {
-			c.closeIdle()
-		}
-	}
-}
-
 // connStateHook is the ConnState hook of a server on a clientConns listener.
 func connStateHook(conn net.Conn, state http.ConnState) {
 	if c, ok := conn.(*clientConn); ok {
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -69,7 +69,9 @@
 	budgets     *repeatBudgets
 	fleetSize   fleetSize
 	// stopsAt is when the daemon ends; nil unless it is stopping.
-	stopsAt  atomic.Pointer[time.Time]
+	stopsAt atomic.Pointer[time.Time]
+	// delays tells how late the process runs.
+	delays   *delayMonitor
 	metrics  *metrics.Set
 	stopping atomic.Bool
 	shutdown chan struct{}
@@ -100,8 +102,12 @@
 	d := &Daemon{settingsPath: path, startedAt: time.Now(), settings: s, log: log, metrics: metrics.NewSet(), shutdown: make(chan struct{}, 1)}
 	d.telemetry = telemetry.NewHostedRecorder(log, d.metrics, s.Log.LinesPerS)
 	d.memory = holding.New(clients.RoomFor(int64(s.MemoryMB)<<20, s.ClientLimits.MemoryShare), time.Now)
+	d.delays = newDelayMonitor(sweepInterval, time.Now())
 	d.store = platform.NewStore(s.Store)
 	d.rpc = fleetrpc.NewClient(time.Now)
+	d.rpc.OnCut = func(address string, calls int, reason fleetrpc.CutReason) {
+		d.telemetry.PeerCallsCut(address, calls, string(reason))
+	}
 	self := fleet.Member{ID: core.InstanceID(s.Instance), Address: s.Listen.AdvertisePeers, DataCenter: core.DataCenterID(s.DataCenter),
 		Millicores: int(1000 * s.CPUShare * float64(s.Cores)), GrantsPermits: true, CountsRestorations: true}
 	d.fleet = fleet.New(fleet.Options{Self: self, Transport: d.rpc, Source: d.status, Events: d.telemetry, OnStatus: d.learnFromStatus, LoadAges: s.EvenLoad.AboveDaemons > 0, Now: time.Now})
@@ -312,7 +318,7 @@
 		if err != nil {
 			return errors.Annotatef(err, "listen on %s", address)
 		}
-		l = sockets.wrap(address, l)
+		l = sockets.wrap(address, l, callers)
 		go func() {
 			if err := f(l); err != nil && err != http.ErrServerClosed {
 				failed <- errors.Annotatef(err, "serve on %s", address)
--- a/internal/edge/lifecycle.go
+++ b/internal/edge/lifecycle.go
@@ -8,6 +8,7 @@
 
 	"eelgrassgrade/internal/app/fleet"
 	"eelgrassgrade/internal/app/forward"
+	"eelgrassgrade/internal/graceful"
 	"eelgrassgrade/internal/settings"
 )
 
@@ -34,7 +35,7 @@
 
 // waitForStop handles signals and Shutdown until the daemon has stopped. abortRequests
 // cancels the contexts of callers' requests.
-func (d *Daemon) waitForStop(ctx context.Context, signals <-chan os.Signal, callers *callerServer, abortRequests context.CancelCauseFunc, failed <-chan error) error {
+func (d *Daemon) waitForStop(ctx context.Context, signals <-chan os.Signal, callers *graceful.Server, abortRequests context.CancelCauseFunc, failed <-chan error) error {
 	for {
 		select {
 		case err := <-failed:
@@ -76,14 +77,15 @@
 // waits for the requests in progress. Those that are left at the end are aborted: the end
 // of the process would close their connections without an answer, and in order, which
 // ends a stream of a caller of HTTP/1.0.
-func (d *Daemon) stop(callers *callerServer, abortRequests context.CancelCauseFunc) {
+func (d *Daemon) stop(callers *graceful.Server, abortRequests context.CancelCauseFunc) {
 	began := time.Now()
 	d.stopping.Store(true)
 	d.fleet.Leave()
-	end := began.Add(seconds(d.settings.StopWithinS) - killMargin)
-	defer d.stopReport.begin(began, end)()
-	callers.announceStop()
+	delay := d.delays.delay(began)
+	end := stopEnd(began, delay, seconds(d.settings.StopWithinS))
 	d.stopsAt.Store(&end)
+	defer d.stopReport.begin(began, end, delay)()
+	callers.AnnounceStop()
 	ctx, cancel := context.WithDeadline(context.Background(), end)
 	defer cancel()
 	go func() {
@@ -92,13 +94,13 @@
 		}
 	}()
 	linger(ctx, lingerTime, time.Now, time.Sleep)
-	if err := callers.finish(ctx); err != nil {
+	if err := callers.Finish(ctx); err != nil {
 		d.log.Warn().Int("in_progress", d.forward.Active()).Err(err).Msg("requests_cut")
-		callers.conns.cutting.Store(true)
+		d.stopReport.sockets.callers.cutting.Store(true)
 		abortRequests(forward.ErrStopping)
 		aborted, cancel := context.WithTimeout(context.Background(), abortTime)
 		defer cancel()
-		if err := callers.finish(aborted); err != nil {
+		if err := callers.Finish(aborted); err != nil {
 			d.log.Warn().Int("in_progress", d.forward.Active()).Err(err).Msg("requests_abandoned")
 			// The connections end with the process whatever this returns.
 			_ = callers.Close()
--- a/internal/edge/stopreport.go
+++ b/internal/edge/stopreport.go
@@ -8,13 +8,8 @@
 	"eelgrassgrade/internal/adapter/telemetry"
 )
 
-const (
-	// stopReportInterval is the time between two reports of a stopping daemon.
-	stopReportInterval = time.Second
-	// sweepIsRecent is the age up to which the delay of the last sweep of connections tells
-	// how long the process was held up just now.
-	sweepIsRecent = 50 * time.Millisecond
-)
+// stopReportInterval is the time between two reports of a stopping daemon.
+const stopReportInterval = time.Second
 
 // stopReport reports what a stopping daemon has in progress and what became of it.
 type stopReport struct {
@@ -25,10 +20,11 @@
 }
 
 // begin reports the begin of a stop that cuts requests at end, and its progress until the
-// returned function is called, which reports the outcome.
-func (r *stopReport) begin(began, end time.Time) (finish func()) {
+// returned function is called, which reports the outcome. delay tells how late the process
+// ran at the begin.
+func (r *stopReport) begin(began, end time.Time, delay schedulingDelay) (finish func()) {
 	r.end = end
-	r.daemon.telemetry.StopBegan(began, r.progress(r.sockets.clock.overdue(began)))
+	r.daemon.telemetry.StopBegan(began, r.progress(max(delay.present, delay.usual)))
 	done := make(chan struct{})
 	var reporting sync.WaitGroup
 	reporting.Go(func() { r.repeat(done) })
@@ -59,16 +55,6 @@
 		PeerTasks: r.peers.PeerTasks(), Remaining: time.Until(r.end), Late: late}
 }
 
-// overdue returns for how long the process has been held up until now: by how much the
-// sweep of connections is late, or has just been.
-func (r *runClock) overdue(now time.Time) time.Duration {
-	passed := now.Sub(*r.last.Load())
-	if passed < sweepIsRecent {
-		return time.Duration(r.late.Load())
-	}
-	return max(passed-sweepInterval, 0)
-}
-
 // reportClosed reports a caller's connection that was closed.
 func (d *Daemon) reportClosed(c connClose) {
 	d.telemetry.ConnectionClosed(string(c.reason), c.client, c.reason == closedByCaller, c.head, c.unanswered)
