--- a/internal/adapter/fleetrpc/conns.go
+++ b/internal/adapter/fleetrpc/conns.go
@@ -30,6 +30,16 @@
 	maxReplaced = 2
 )
 
+// CutReason says why a connection with calls in progress was closed.
+type CutReason string
+
+const (
+	// CutDead: the daemon answers on a newer connection and not on this one.
+	CutDead CutReason = "dead"
+	// CutBound: there were more replaced connections to the daemon than are kept.
+	CutBound CutReason = "bound"
+)
+
 // conn is a connection to another daemon. Client.mu guards calls and replaced.
 type conn struct {
 	*grpc.ClientConn
@@ -92,26 +102,35 @@
 	old.Close()
 }
 
+// cut closes a replaced connection whose calls fail with it. The caller holds mu.
+func (c *Client) cut(address string, old *conn, reason CutReason) {
+	if c.OnCut != nil && old.calls > 0 {
+		c.OnCut(address, old.calls, reason)
+	}
+	c.closeReplaced(address, old)
+}
+
 // Reconnect implements fleet.Transport. The daemon may work on the calls in progress and be
 // only slow to answer, so the old connection is kept until they have ended or it is known
 // to be dead.
-func (c *Client) Reconnect(address string) {
+func (c *Client) Reconnect(address string) (calls int) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	old := c.conns[address]
 	if old == nil {
-		return
+		return 0
 	}
 	delete(c.conns, address)
 	if old.calls == 0 {
 		old.Close()
-		return
+		return 0
 	}
 	old.replaced = true
 	if c.replaced[address] = append(c.replaced[address], old); len(c.replaced[address]) > maxReplaced {
-		c.closeReplaced(address, c.replaced[address][0])
+		c.cut(address, c.replaced[address][0], CutBound)
 	}
 	go c.checkReplaced(address, old)
+	return old.calls
 }
 
 // checkReplaced closes a replaced connection if it is dead. It returns when the connection
@@ -120,7 +139,7 @@
 	for c.isReplaced(address, old) {
 		if c.isDead(address, old) {
 			c.mu.Lock()
-			c.closeReplaced(address, old)
+			c.cut(address, old, CutDead)
 			c.mu.Unlock()
 			return
 		}
--- a/internal/adapter/fleetrpc/fleetrpc.go
+++ b/internal/adapter/fleetrpc/fleetrpc.go
@@ -55,6 +55,9 @@
 // Client calls other daemons.
 type Client struct {
 	now func() time.Time
+	// OnCut is called with each connection that is closed while calls are in progress on it,
+	// which fail. It may be nil and must be set before the first call. It must not block.
+	OnCut func(address string, calls int, reason CutReason)
 
 	mu sync.Mutex
 	// conns holds the connection for new calls to each daemon, by address, and replaced the
--- a/internal/app/fleet/fleet.go
+++ b/internal/app/fleet/fleet.go
@@ -177,8 +177,8 @@
 type Transport interface {
 	Exchange(ctx context.Context, address string, s *Status) (*Status, error)
 	// Reconnect makes later calls to the address open another connection. Calls in progress
-	// go on unless the daemon answers only on the new connection.
-	Reconnect(address string)
+	// go on unless the daemon answers only on the new connection. It returns their number.
+	Reconnect(address string) (calls int)
 	// Announce announces a long prompt to the daemon at the address.
 	Announce(ctx context.Context, address string, r Prefill) error
 }
@@ -190,9 +190,13 @@
 // Events receives membership changes.
 type Events interface {
 	PeerAlive(m Member)
-	// PeerLost reports that a peer is no longer alive. silent is the time since its last
-	// status.
-	PeerLost(m Member, silent time.Duration)
+	// PeerLost reports that a peer is no longer alive.
+	PeerLost(m Member, l Loss)
+	// PeerLeaving reports that a peer has announced its planned stop.
+	PeerLeaving(m Member)
+	// ConnectionReplaced reports that new calls to a peer use another connection, because
+	// exchanges with it fail.
+	ConnectionReplaced(m Member, r Replacement)
 }
 
 type peer struct {
@@ -216,7 +220,10 @@
 	listed    bool
 	// toldLeave says that the peer has a status that says that this daemon leaves.
 	toldLeave bool
-	lost      chan struct{}
+	// leavingSince is when a status first announced the peer's planned stop; zero if none
+	// has.
+	leavingSince time.Time
+	lost         chan struct{}
 	// watchers counts the unstopped Watch calls, and watchedAt is the time of the first
 	// of them.
 	watchers  int
--- a/internal/app/fleet/schedule.go
+++ b/internal/app/fleet/schedule.go
@@ -160,18 +160,21 @@
 
 func (f *Fleet) exchange(ctx context.Context, p *peer, status *Status) {
 	callCtx, cancel := context.WithTimeout(ctx, exchangeTimeout)
+	began := f.now()
 	reply, err := f.transport.Exchange(callCtx, p.address, status)
 	cancel()
 	f.mu.Lock()
 	p.inExchange = false
-	reconnect := false
+	var replaced *Replacement
 	if err != nil {
 		if p.failures++; p.failures == 1 {
 			// One exchange may fail because of a lost packet. Resetting triedAt keeps the
 			// retry from being queued behind the exchanges with all other peers.
 			p.triedAt = time.Time{}
 		}
-		reconnect = p.failures%reconnectAfter == 0
+		if p.failures%reconnectAfter == 0 {
+			replaced = &Replacement{Failures: p.failures, Took: f.now().Sub(began), Silent: f.silence(p), Alive: p.alive, Err: err}
+		}
 	} else {
 		p.failures, p.answeredAt = 0, f.now()
 		p.toldLeave = status.Leaving
@@ -179,9 +182,11 @@
 			f.wakeUp()
 		}
 	}
+	member := p.member
 	f.mu.Unlock()
-	if reconnect {
-		f.transport.Reconnect(p.address)
+	if replaced != nil {
+		replaced.Calls = f.transport.Reconnect(p.address)
+		f.events.ConnectionReplaced(member, *replaced)
 	}
 	if err == nil {
 		f.receive(reply)
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -106,6 +106,9 @@
 	d.delays = newDelayMonitor(sweepInterval, time.Now())
 	d.store = platform.NewStore(s.Store)
 	d.rpc = fleetrpc.NewClient(time.Now)
+	d.rpc.OnCut = func(address string, calls int, reason fleetrpc.CutReason) {
+		d.telemetry.PeerCallsCut(address, calls, string(reason))
+	}
 	self := fleet.Member{ID: core.InstanceID(s.Instance), Address: s.Listen.AdvertisePeers, DataCenter: core.DataCenterID(s.DataCenter),
 		Millicores: int(1000 * s.CPUShare * float64(s.Cores)), GrantsPermits: true, CountsRestorations: true}
 	d.fleet = fleet.New(fleet.Options{Self: self, Transport: d.rpc, Source: d.status, Events: d.telemetry, OnStatus: d.learnFromStatus, LoadAges: s.EvenLoad.AboveDaemons > 0, Now: time.Now})
