forward: leave a silent stream only for an endpoint that takes it

Callers of a resumable stream got a part of it and a closed connection while their engine was at work: the stream had left it for another one that refused it, and no retry was left in the budget for the way back or a third engine.

Loads move between the choice of an engine and the arrival of the request there.

Change: the next attempt is sent while the present endpoint may go on. If it is refused, the stream stays; after 0.2 s without a refusal, or with the head of a sound answer, it leaves.

--- a/internal/app/forward/answer.go
+++ b/internal/app/forward/answer.go
@@ -109,11 +109,12 @@
 		candidates = f.pickEndpoint(ctx, rs, map[core.InstanceID]bool{rs.outcome.Endpoint: true})
 	}
 	if len(candidates) > 0 {
-		e := candidates[0].Endpoint
 		rs.outcome.Attempts++
-		rs.outcome.Endpoint = e.ID
-		f.events.RequestSent(rs.req, rs.pool, f.explainChoice(candidates), rs.outcome.Attempts, rs.deadline.Sub(f.now()))
-		if err := f.tryEndpoint(ctx, rs, candidates[0], &streamRelay{forwarder: f, state: rs, w: w}); err == nil || rs.answerStarted {
+		rs.outcome.Endpoint = candidates[0].Endpoint.ID
+		s := &streamRelay{forwarder: f, state: rs, w: w, tried: map[core.InstanceID]bool{}}
+		next := f.newAttempt(ctx, s, candidates, rs.outcome.Attempts)
+		next.send()
+		if err := f.finishAttempt(ctx, next, s); err == nil || rs.answerStarted {
 			return err
 		}
 	}
--- a/internal/app/forward/attempt.go
+++ b/internal/app/forward/attempt.go
@@ -5,7 +5,6 @@
 	"net/http"
 	"time"
 
-	"eelgrassgrade/internal/app/fleet"
 	"eelgrassgrade/internal/core"
 	"eelgrassgrade/internal/decide/catalog"
 	"eelgrassgrade/internal/decide/health"
@@ -70,38 +69,24 @@
 	s := &streamRelay{forwarder: f, state: rs, w: w, tried: tried}
 	s.mayMove = func(ctx context.Context) bool { return f.mayMove(ctx, s) }
 	s.prepare = func() *preparation { return f.prepareInputs(ctx, rs) }
+	s.startNext = func() *attempt { return f.startNext(ctx, s) }
 	defer s.stay()
+	defer s.dropNext()
 	for try := 1; try <= maxTries; try++ {
 		rs.enterAttempt()
-		if err := f.partsError(rs); err != nil {
-			if !rs.mayHaveRun {
+		a := s.takeNext()
+		if a == nil {
+			var err error
+			if a, err = f.nextAttempt(ctx, s, try); err != nil && !rs.mayHaveRun {
 				lastErr = err
 			}
-			break
-		}
-		if err := f.stopError(rs, rs.retryState(), 0); err != nil {
-			if !rs.mayHaveRun {
-				lastErr = err
-			}
-			break
-		}
-		candidates := f.pickOrWait(ctx, rs, tried)
-		if len(candidates) == 0 || try == maxTries {
-			if back := f.pickLeft(ctx, s); len(back) > 0 {
-				candidates = back
-			}
-		}
-		if err := f.poolClosedError(rs); len(candidates) == 0 && err != nil && !rs.mayHaveRun {
-			lastErr = err
 		}
-		if len(candidates) == 0 || ctx.Err() != nil {
+		if a == nil {
 			break
 		}
-		e := candidates[0].Endpoint
-		tried[e.ID] = true
+		e := a.candidate.Endpoint
 		rs.outcome.Attempts, rs.outcome.Endpoint = try, e.ID
-		f.events.RequestSent(rs.req, rs.pool, f.explainChoice(candidates), try, rs.deadline.Sub(f.now()))
-		err := f.tryEndpoint(ctx, rs, candidates[0], s)
+		err := f.finishAttempt(ctx, a, s)
 		if err == nil {
 			return nil, false
 		}
@@ -152,6 +137,36 @@
 	return f.finalError(ctx, rs, lastErr), false
 }
 
+// nextAttempt sends a request to the next endpoint. It returns nil if there is none or the
+// request may not be sent any more, with the error if that says why.
+func (f *Forwarder) nextAttempt(ctx context.Context, s *streamRelay, try int) (*attempt, error) {
+	rs := s.state
+	if err := f.partsError(rs); err != nil {
+		return nil, err
+	}
+	if err := f.stopError(rs, rs.retryState(), 0); err != nil {
+		return nil, err
+	}
+	candidates := f.pickOrWait(ctx, rs, s.tried)
+	if len(candidates) == 0 || try == maxTries {
+		if back := f.pickLeft(ctx, s); len(back) > 0 {
+			candidates = back
+		}
+	}
+	if err := f.poolClosedError(rs); len(candidates) == 0 && err != nil {
+		return nil, err
+	}
+	if len(candidates) == 0 || ctx.Err() != nil {
+		return nil, nil
+	}
+	if !f.inProgress.sent(rs, f.now()) {
+		return nil, stopRefusal("the daemon ends before the request could be sent")
+	}
+	a := f.newAttempt(ctx, s, candidates, try)
+	a.send()
+	return a, nil
+}
+
 // enterAttempt sets the phase of a request that is about to be sent to an endpoint.
 func (rs *requestState) enterAttempt() {
 	if rs.answerStarted {
@@ -222,63 +237,6 @@
 	}
 }
 
-// tryEndpoint sends a request to one endpoint and relays its answer.
-func (f *Forwarder) tryEndpoint(ctx context.Context, rs *requestState, c placement.Candidate, s *streamRelay) error {
-	startTime, e := f.now(), c.Endpoint
-	if !f.inProgress.sent(rs, startTime) {
-		return stopRefusal("the daemon ends before the request could be sent")
-	}
-	rs.sentTo, rs.endpointRun = e, quarantine.RunOf(e.ID, f.view().ByID[e.ID].StartedMs)
-	markFirstEvent, markEnd := f.tracker.requestStarted(rs.pool, e.ID, c.UncachedTokens)
-	defer markEnd()
-	if c.UncachedTokens >= placement.LongPromptTokens {
-		f.announce(fleet.Prefill{Endpoint: e.ID, Tokens: c.UncachedTokens, Remaining: placement.PrefillTime(c.UncachedTokens + c.PrefillTokens)})
-	}
-	endpointReq := &EndpointRequest{Request: rs.req, Account: rs.account, Priority: rs.rank, Remaining: rs.deadline.Sub(startTime), LastEventID: s.lastEventID}
-	if rs.inputs != nil {
-		endpointReq.Inputs = rs.inputs.handles
-	}
-	callCtx, cancel := context.WithCancel(ctx)
-	defer cancel()
-	a, err := f.endpoints.Send(callCtx, e, endpointReq)
-	if err != nil {
-		return f.recordFailure(ctx, rs, e, startTime, time.Time{}, core.AsError(err, "send"))
-	}
-	defer a.Body.Close()
-	rs.outcome.Framing = a.Framing.String()
-	if rs.route.Stream && a.Genuine && a.Status == http.StatusOK && !rs.cannotContinue(a) {
-		resumed := s.lastEventID != ""
-		var firstEventAt time.Time
-		s.onFirstEvent = func() {
-			markFirstEvent()
-			firstEventAt = f.now()
-			f.latencies.observeFirstEvent(firstEventAt, rs.route.Name, firstEventAt.Sub(startTime), rs.firstEventProbe)
-			f.tracker.observe(rs.pool, e.ID, health.Sample{OK: true, Kind: health.Streaming, Elapsed: normalizeFirstEventTime(f.now().Sub(startTime), rs.req.PromptTokens)}, false)
-			// The endpoint has read its inputs. If they were kept until the end of a
-			// long stream, the stages' endpoints would run out of result capacity. If
-			// the stream breaks off, the stages run again.
-			rs.inputs.releaseAll()
-			if rs.route.Repeat == catalog.Once {
-				rs.releaseBody()
-			}
-		}
-		s.onSettled = func() { f.parts.RecordSound(rs.parts, firstEventAt) }
-		if err := s.relay(callCtx, a); err != nil {
-			return f.recordBrokenAnswer(ctx, rs, e, a, startTime, firstEventAt, err)
-		}
-		if !resumed && !firstEventAt.IsZero() {
-			f.inProgress.ended(rs.route.Name, f.now(), f.now().Sub(startTime))
-			f.latencies.observeStreamDuration(rs.route.Name, f.now().Sub(firstEventAt))
-		}
-		f.contents.RecordSuccess(rs.fingerprint)
-		if !firstEventAt.IsZero() {
-			f.parts.RecordSound(rs.parts, firstEventAt)
-		}
-		return nil
-	}
-	return f.handleWholeAnswer(ctx, rs, e, s.w, a, startTime)
-}
-
 // normalizeFirstEventTime scales the time to a first event by the length of the
 // prompt, so that the times of endpoints can be compared.
 func normalizeFirstEventTime(d time.Duration, tokens int) time.Duration {
--- a/internal/app/forward/prepare.go
+++ b/internal/app/forward/prepare.go
@@ -2,8 +2,11 @@
 
 import (
 	"context"
+	"net/http"
+	"time"
 
 	"eelgrassgrade/internal/core"
+	"eelgrassgrade/internal/decide/health"
 )
 
 // preparation runs the stages of a stream once more. Its endpoint has released their results
@@ -42,14 +45,23 @@
 // whether the stream leaves at once. If its stages have to run again, it leaves when they
 // have run: the endpoint may go on, and another one cannot without their results.
 func (s *streamRelay) startMove() bool {
+	s.moves = false
 	if !s.state.inputs.inputsReleased() {
-		return true
+		return s.leave()
 	}
-	s.moves = false
 	s.preparing = s.prepare()
 	return false
 }
 
+// leave sends the request to another endpoint. It reports whether that one takes it, and the
+// stream leaves the present one.
+func (s *streamRelay) leave() bool {
+	if s.next = s.startNext(); s.next != nil {
+		s.moves = true
+	}
+	return s.moves
+}
+
 // finishMove is called when the preparation has ended. It reports whether the stream leaves
 // its endpoint: if the stages have run and another endpoint still takes it.
 func (s *streamRelay) finishMove(ctx context.Context) bool {
@@ -66,17 +78,20 @@
 	case !f.reserveHealthyEndpoint(ctx, rs, s.tried):
 		reason = "stalled, no other endpoint has room"
 	default:
-		rs.inputs, s.moves = p.inputs, true
-		return true
+		rs.inputs = p.inputs
+		return s.leave()
 	}
 	p.inputs.releaseAll()
 	f.events.RetryDecided(rs.req, rs.pool, reason, false, nil, err)
 	return false
 }
 
-// stay gives up the preparation, if there is one: the endpoint goes on with the stream, or
-// the request has ended.
+// stay gives up what was made for a move: the endpoint goes on with the stream, or the
+// request has ended.
 func (s *streamRelay) stay() {
+	if s.state.answerStarted {
+		s.state.inputs.releaseAll()
+	}
 	p := s.preparing
 	if p == nil {
 		return
@@ -103,3 +118,72 @@
 	}
 	return true, p.err
 }
+
+// refusalTime is how long the endpoint that a stream leaves may go on beside the next one,
+// which refuses a request at once if it does not take it. Both produce the same events
+// meanwhile.
+const refusalTime = 200 * time.Millisecond
+
+// startNext sends the request of a silent stream to the next endpoint and returns the attempt,
+// or nil if that one does not take it: the present endpoint may still go on.
+func (f *Forwarder) startNext(ctx context.Context, s *streamRelay) *attempt {
+	rs := s.state
+	sent := rs.outcome.Attempts + s.refusals
+	if sent >= maxTries {
+		return nil
+	}
+	candidates := f.pickEndpoint(ctx, rs, s.tried)
+	if len(candidates) == 0 {
+		return nil
+	}
+	next := f.newAttempt(ctx, s, candidates, sent+1)
+	next.start()
+	select {
+	case <-next.done:
+	case <-time.After(refusalTime):
+		return next
+	}
+	if next.err == nil && next.answer.Genuine && next.answer.Status == http.StatusOK && !rs.cannotContinue(next.answer) {
+		return next
+	}
+	f.recordRefusal(s, next)
+	return nil
+}
+
+// recordRefusal records that an endpoint has not taken a stream that has not left another
+// one for it.
+func (f *Forwarder) recordRefusal(s *streamRelay, next *attempt) {
+	rs, id := s.state, next.candidate.Endpoint.ID
+	s.refusals++
+	err := &core.Error{Kind: core.Unavailable, Step: "endpoint", Peer: string(id), Ran: core.RanNot, Detail: "the endpoint did not take over the stream"}
+	if next.err != nil {
+		err = core.AsError(next.err, "send")
+	}
+	if next.err == nil && !next.answer.NotStarted || err.Ran != core.RanNot {
+		rs.mayHaveRun = true
+		s.possibleRuns++
+	}
+	next.end()
+	f.tracker.observe(rs.pool, id, health.Sample{}, err.Step == "connect")
+	f.events.RetryDecided(rs.req, rs.pool, "stalled, the next endpoint did not take it", false, nil, err)
+}
+
+// takeNext returns the attempt with which the stream has left its endpoint, or nil.
+func (s *streamRelay) takeNext() *attempt {
+	next := s.next
+	s.next = nil
+	if next != nil {
+		<-next.done
+	}
+	return next
+}
+
+// dropNext ends an attempt that is not used.
+func (s *streamRelay) dropNext() {
+	if next := s.next; next != nil {
+		s.next = nil
+		next.cancel()
+		<-next.done
+		next.end()
+	}
+}
--- a/internal/app/forward/stream.go
+++ b/internal/app/forward/stream.go
@@ -55,6 +55,13 @@
 	// prepare starts a preparation; preparing is the one in progress, or nil.
 	prepare   func() *preparation
 	preparing *preparation
+	// startNext sends the request to the next endpoint while the present one may go on, and
+	// returns nil if that one does not take it. next is the attempt with which the stream has
+	// left its endpoint; nil if there is none.
+	startNext func() *attempt
+	next      *attempt
+	// refusals counts the endpoints that did not take the stream over.
+	refusals int
 	// left is the endpoint that the stream has left for its silence; empty if there is none
 	// or it got the request again.
 	left core.InstanceID
