--- a/internal/app/forward/attempt.go
+++ b/internal/app/forward/attempt.go
@@ -69,14 +69,17 @@
 	var lastErr error = &core.Error{Kind: core.Unavailable, Step: "endpoint", Ran: core.RanNot, RetryAfter: 500 * time.Millisecond, Detail: "no endpoint of the pool is available"}
 	s := &streamRelay{forwarder: f, state: rs, w: w, tried: tried}
 	s.mayMove = func(ctx context.Context) bool { return f.mayMove(ctx, s) }
+	s.prepare = func() *preparation { return f.prepareInputs(ctx, rs) }
+	defer s.stay()
 	for try := 1; try <= maxTries; try++ {
+		rs.enterAttempt()
 		if err := f.partsError(rs); err != nil {
 			if !rs.mayHaveRun {
 				lastErr = err
 			}
 			break
 		}
-		if err := f.stopError(f.expectedAnswerTime(rs.route)); err != nil {
+		if err := f.stopError(rs, rs.retryState(), 0); err != nil {
 			if !rs.mayHaveRun {
 				lastErr = err
 			}
@@ -108,20 +111,32 @@
 			rs.mayHaveRun = true
 			s.possibleRuns++
 		}
+		f.inProgress.failed(rs)
 		moves := s.moves
 		if moves {
 			s.left = e.ID
 		}
 		s.moves, s.stayReported = false, false
-		if ctx.Err() != nil || !moves && !f.mayRetry(rs, failure, s.possibleRuns) {
+		// A preparation means that the retry was taken before the stream broke off.
+		if ctx.Err() != nil || !moves && s.preparing == nil && !f.mayRetry(rs, failure, s.possibleRuns) {
 			break
 		}
+		if prepared, err := s.useInputs(); err != nil {
+			lastErr = err
+			break
+		} else if prepared {
+			continue
+		}
 		if failure.Kind == core.Conflict || rs.inputs.inputsReleased() {
 			// The results that the request needs are gone, so the stages must run again.
 			if rs.stageRuns > 1 {
 				break
 			}
 			rs.inputs.releaseAll()
+			if err := f.stopError(rs, rs.retryState(), rs.plan.stagesTime()); err != nil {
+				lastErr = err
+				break
+			}
 			if rs.answerStarted {
 				rs.relaxDeadlines(f.now())
 			}
@@ -137,6 +152,15 @@
 	return f.finalError(ctx, rs, lastErr), false
 }
 
+// enterAttempt sets the phase of a request that is about to be sent to an endpoint.
+func (rs *requestState) enterAttempt() {
+	if rs.answerStarted {
+		rs.req.InProgress.Enter(PhaseStream)
+		return
+	}
+	rs.req.InProgress.Enter(PhaseFirstEvent)
+}
+
 // explainChoice describes the choice of the first of the candidates.
 func (f *Forwarder) explainChoice(candidates []placement.Candidate) Choice {
 	c := Choice{Endpoint: candidates[0].Endpoint, Running: candidates[0].Running, PrefillTokens: candidates[0].PrefillTokens, AffinityRank: candidates[0].AffinityRank, UncachedTokens: candidates[0].UncachedTokens, Candidates: len(candidates)}
@@ -193,6 +217,9 @@
 // tryEndpoint sends a request to one endpoint and relays its answer.
 func (f *Forwarder) tryEndpoint(ctx context.Context, rs *requestState, c placement.Candidate, s *streamRelay) error {
 	startTime, e := f.now(), c.Endpoint
+	if !f.inProgress.sent(rs, startTime) {
+		return stopRefusal("the daemon ends before the request could be sent")
+	}
 	rs.sentTo, rs.endpointRun = e, quarantine.RunOf(e.ID, f.view().ByID[e.ID].StartedMs)
 	markFirstEvent, markEnd := f.tracker.requestStarted(rs.pool, e.ID, c.UncachedTokens)
 	defer markEnd()
@@ -232,6 +259,7 @@
 			return f.recordBrokenAnswer(ctx, rs, e, a, startTime, firstEventAt, err)
 		}
 		if !resumed && !firstEventAt.IsZero() {
+			f.inProgress.ended(rs.route.Name, f.now(), f.now().Sub(startTime))
 			f.latencies.observeStreamDuration(rs.route.Name, f.now().Sub(firstEventAt))
 		}
 		f.contents.RecordSuccess(rs.fingerprint)
--- a/internal/app/forward/move.go
+++ b/internal/app/forward/move.go
@@ -8,6 +8,7 @@
 	"eelgrassgrade/internal/decide/health"
 	"eelgrassgrade/internal/decide/placement"
 	"eelgrassgrade/internal/decide/repeats"
+	"eelgrassgrade/internal/decide/shutdown"
 )
 
 // stallRecheck is the time after which a stalled stream that may not go on elsewhere looks
@@ -60,17 +61,20 @@
 // mayStartAgain reports whether the time suffices for a request that has begun to be sent
 // to another endpoint, and whether its stages may run again if they have to.
 func (f *Forwarder) mayStartAgain(rs *requestState) bool {
-	if f.stopError(f.expectedAnswerTime(rs.route)) != nil {
-		return false
-	}
-	needed := f.latencies.expectedFirstEvent(rs.route.Name)
+	needed, stages := f.latencies.expectedFirstEvent(rs.route.Name), time.Duration(0)
 	if rs.inputs.inputsReleased() {
 		if rs.stageRuns > 1 {
 			return false
 		}
-		needed = rs.plan.expectedTime
+		needed, stages = rs.plan.expectedTime, rs.plan.stagesTime()
 	}
-	return f.now().Add(max(needed, minRemaining)).Before(rs.deadline)
+	return f.hasTimeToMove(rs, needed, stages)
+}
+
+// hasTimeToMove reports whether the time suffices for a request that has begun and whose
+// next event is expected after the time needed, stages of which its stages take.
+func (f *Forwarder) hasTimeToMove(rs *requestState, needed, stages time.Duration) bool {
+	return f.stopError(rs, shutdown.Moving, stages) == nil && f.now().Add(max(needed, minRemaining)).Before(rs.deadline)
 }
 
 // reserveHealthyEndpoint reports whether a healthy endpoint with a free slot that was not
--- a/internal/edge/lifecycle.go
+++ b/internal/edge/lifecycle.go
@@ -8,6 +8,7 @@
 
 	"eelgrassgrade/internal/app/fleet"
 	"eelgrassgrade/internal/app/forward"
+	"eelgrassgrade/internal/graceful"
 	"eelgrassgrade/internal/settings"
 )
 
@@ -34,7 +35,7 @@
 
 // waitForStop handles signals and Shutdown until the daemon has stopped. abortRequests
 // cancels the contexts of callers' requests.
-func (d *Daemon) waitForStop(ctx context.Context, signals <-chan os.Signal, callers *callerServer, abortRequests context.CancelCauseFunc, failed <-chan error) error {
+func (d *Daemon) waitForStop(ctx context.Context, signals <-chan os.Signal, callers *graceful.Server, abortRequests context.CancelCauseFunc, failed <-chan error) error {
 	for {
 		select {
 		case err := <-failed:
@@ -77,38 +78,42 @@
 // here. Requests that are left at the end are aborted: the end
 // of the process would close their connections without an answer, and in order, which
 // ends a stream of a caller of HTTP/1.0.
-func (d *Daemon) stop(callers *callerServer, abortRequests context.CancelCauseFunc) {
-	began := time.Now()
+func (d *Daemon) stop(callers *graceful.Server, abortRequests context.CancelCauseFunc) {
+	noticed := time.Now()
 	d.stopping.Store(true)
 	d.fleet.Leave()
-	handedBack := d.coordinator.HandBack()
-	d.log.Info().Int("in_progress", d.forward.Active()).Int("stage_tasks_handed_back", handedBack).Msg("stopping")
-	callers.announceStop()
-	end := began.Add(seconds(d.settings.StopWithinS) - killMargin)
-	d.stopsAt.Store(&end)
-	ctx, cancel := context.WithDeadline(context.Background(), end)
+	delay := d.delays.delay(noticed)
+	plan := planStop(noticed, delay, seconds(d.settings.StopWithinS))
+	d.stopPlan.Store(&plan)
+	defer d.stopReport.begin(noticed, plan.End, delay)()
+	if tasks := d.coordinator.HandBack(); tasks > 0 {
+		d.log.Info().Int("stage_tasks", tasks).Msg("stage_tasks_handed_back")
+	}
+	callers.AnnounceStop()
+	ctx, cancel := context.WithDeadline(context.Background(), plan.End)
 	defer cancel()
 	go func() {
 		if err := d.store.Remove(ctx, daemonTableName, d.settings.Instance); err != nil {
 			d.log.Warn().Err(err).Msg("deregistration_failed")
 		}
 	}()
+	go d.forward.GiveUpWaiting(ctx)
 	linger(ctx, lingerTime, time.Now, time.Sleep)
-	if err := callers.finish(ctx); err != nil {
+	if err := callers.Finish(ctx); err != nil {
 		d.log.Warn().Int("in_progress", d.forward.Active()).Err(err).Msg("requests_cut")
+		d.stopReport.sockets.callers.cutting.Store(true)
 		abortRequests(forward.ErrStopping)
 		aborted, cancel := context.WithTimeout(context.Background(), abortTime)
 		defer cancel()
-		if err := callers.finish(aborted); err != nil {
+		if err := callers.Finish(aborted); err != nil {
 			d.log.Warn().Int("in_progress", d.forward.Active()).Err(err).Msg("requests_abandoned")
 			// The connections end with the process whatever this returns.
 			_ = callers.Close()
 		}
 	}
-	if unfinished := d.stageClient.Finish(ctx); unfinished > 0 {
-		d.log.Warn().Int("stage_tasks", unfinished).Msg("stage_tasks_cut")
+	if tasks := d.stageClient.Finish(ctx); tasks > 0 {
+		d.log.Warn().Int("stage_tasks", tasks).Msg("stage_tasks_cut")
 	}
-	d.log.Info().Int64("took_ms", time.Since(began).Milliseconds()).Msg("stopped")
 }
 
 // linger waits until the process has run for d or ctx has ended. Time in which the
--- a/internal/edge/sockets.go
+++ b/internal/edge/sockets.go
@@ -6,8 +6,10 @@
 	"net/http"
 	"time"
 
+	"eelgrassgrade/internal/adapter/telemetry"
 	"eelgrassgrade/internal/decide/catalog"
 	"eelgrassgrade/internal/decide/clients"
+	"eelgrassgrade/internal/graceful"
 	"eelgrassgrade/platform"
 )
 
@@ -36,26 +38,29 @@
 func (d *Daemon) newSockets() *sockets {
 	s := &sockets{daemon: d, clock: newRunClock()}
 	s.callers = &clientConns{max: d.settings.ClientLimits.Connections, clock: s.clock, limits: d.callerLimits, times: d.callerTimes, memory: d.memory,
-		conns: map[*clientConn]struct{}{}, refusals: map[string]int{}}
+		closed: d.reportClosed, conns: map[*clientConn]struct{}{}, refusals: map[string]int{}}
 	s.control = &clientConns{max: maxControlConns, clock: s.clock, limits: func() catalog.Limits { return defaultLimits }, times: d.callerTimes,
 		conns: map[*clientConn]struct{}{}, refusals: map[string]int{}}
 	return s
 }
 
-// wrap returns a listener whose connections are bounded, for readiness checks and metrics.
-// The peers' and the callers' listener stay as they are.
-func (s *sockets) wrap(address string, l net.Listener) net.Listener {
-	if address == s.daemon.settings.Listen.Peers || address == s.daemon.settings.Listen.Callers {
+// wrap returns a listener whose connections are bounded. The peers' listener stays as it
+// is. callers is the server that serves the callers' connections.
+func (s *sockets) wrap(address string, l net.Listener, callers *graceful.Server) net.Listener {
+	switch address {
+	case s.daemon.settings.Listen.Peers:
 		return l
+	case s.daemon.settings.Listen.Callers:
+		return &clientListener{Listener: callers.Listener(l), set: s.callers}
 	}
 	return &clientListener{Listener: l, set: s.control}
 }
 
 // callerServer returns the server for callers. Its requests have the context base.
-func (s *sockets) callerServer(base context.Context) *callerServer {
+func (s *sockets) callerServer(base context.Context) *graceful.Server {
 	d := s.daemon
-	handler := &platform.CallerHandler{Service: d.forward, Limits: d.callerLimits, Memory: d.memory, Rank: d.forward.Rank, Refused: s.callers.refused, Now: time.Now}
-	server := &http.Server{BaseContext: func(net.Listener) context.Context { return base }, Handler: handler, MaxHeaderBytes: maxHeaderBytes,
+	handler := &platform.CallerHandler{Service: d.forward, Limits: d.callerLimits, Memory: d.memory, Rank: d.forward.Rank, Refused: s.callers.refused, Progress: &d.progress, Now: time.Now}
+	server := &http.Server{BaseContext: func(net.Listener) context.Context { return base }, Handler: handler, MaxHeaderBytes: maxHeaderBytes, ConnState: connStateHook,
 		// Otherwise net/http answers OPTIONS * itself, with a success that no endpoint gave.
 		DisableGeneralOptionsHandler: true,
 		ConnContext: func(ctx context.Context, conn net.Conn) context.Context {
@@ -64,7 +69,7 @@
 			}
 			return ctx
 		}}
-	return newCallerServer(server, s.callers)
+	return graceful.New(server)
 }
 
 // callerLimits returns the limits of the configuration in force.
@@ -84,10 +89,10 @@
 
 // report reports what clients hold and which were refused.
 func (s *sockets) report() {
-	held, telemetry := s.daemon.memory.Held(), s.daemon.telemetry
-	telemetry.ClientsHold(s.callers.count(), held)
-	telemetry.ClientsRefused("callers", s.callers.takeRefusals(), s.callers.count(), held)
-	telemetry.ClientsRefused("control", s.control.takeRefusals(), s.control.count(), held)
+	held, recorder := s.daemon.memory.Held(), s.daemon.telemetry
+	recorder.ClientsHold(s.callers.count(), held)
+	recorder.ClientsRefused(telemetry.CallersListener, s.callers.takeRefusals(), s.callers.count(), held)
+	recorder.ClientsRefused("control", s.control.takeRefusals(), s.control.count(), held)
 }
 
 // run keeps the connections within their times until ctx ends.
@@ -100,7 +105,9 @@
 			return
 		case <-t.C:
 		}
-		s.clock.advance(time.Now())
+		now := time.Now()
+		s.clock.advance(now)
+		s.daemon.delays.observe(now)
 		s.callers.sweep(s.daemon.memory.TakeRefused())
 		s.control.sweep(false)
 		if i%reportEvery == 0 {
