--- a/internal/edge/lifecycle.go
+++ b/internal/edge/lifecycle.go
@@ -86,8 +86,8 @@
 	plan := planStop(noticed, delay, seconds(d.settings.StopWithinS))
 	d.stopPlan.Store(&plan)
 	defer d.stopReport.begin(noticed, plan.End, delay)()
-	if n := d.coordinator.HandBack(); n > 0 {
-		d.log.Info().Int("stage_tasks", n).Msg("stage_tasks_handed_back")
+	if tasks := d.coordinator.HandBack(); tasks > 0 {
+		d.log.Info().Int("stage_tasks", tasks).Msg("stage_tasks_handed_back")
 	}
 	callers.AnnounceStop()
 	ctx, cancel := context.WithDeadline(context.Background(), plan.End)
@@ -111,8 +111,8 @@
 			_ = callers.Close()
 		}
 	}
-	if unfinished := d.stageClient.Finish(ctx); unfinished > 0 {
-		d.log.Warn().Int("stage_tasks", unfinished).Msg("stage_tasks_cut")
+	if tasks := d.stageClient.Finish(ctx); tasks > 0 {
+		d.log.Warn().Int("stage_tasks", tasks).Msg("stage_tasks_cut")
 	}
 }
 
