edge: read what came during a pause at the end of a stop

A caller's stream was cut by a stopping daemon although its engine had ended it a second before.

Cause: the daemon was paused over the end of its stop. When it went on, the end was past, and requests were aborted before the answers that had arrived were read, 430 ms before the process would have been killed.

The end of a stop is split into steps.

--- a/internal/edge/lifecycle.go
+++ b/internal/edge/lifecycle.go
@@ -8,6 +8,7 @@
 
 	"eelgrassgrade/internal/app/fleet"
 	"eelgrassgrade/internal/app/forward"
+	"eelgrassgrade/internal/decide/shutdown"
 	"eelgrassgrade/internal/graceful"
 	"eelgrassgrade/internal/settings"
 )
@@ -83,7 +84,8 @@
 	d.stopping.Store(true)
 	d.fleet.Leave()
 	delay := d.delays.delay(noticed)
-	plan := planStop(noticed, delay, seconds(d.settings.StopWithinS))
+	grace := seconds(d.settings.StopWithinS)
+	plan := planStop(noticed, delay, grace)
 	d.stopPlan.Store(&plan)
 	defer d.stopReport.begin(noticed, plan.End, delay)()
 	if tasks := d.coordinator.HandBack(); tasks > 0 {
@@ -99,23 +101,44 @@
 	}()
 	go d.forward.GiveUpWaiting(ctx)
 	linger(ctx, lingerTime, time.Now, time.Sleep)
-	if err := callers.Finish(ctx); err != nil {
+	if err := finishRequests(ctx, callers, plan, noticed.Add(grace-killMargin)); err != nil {
 		d.log.Warn().Int("in_progress", d.forward.Active()).Err(err).Msg("requests_cut")
-		d.stopReport.sockets.callers.cutting.Store(true)
-		abortRequests(forward.ErrStopping)
-		aborted, cancel := context.WithTimeout(context.Background(), abortTime)
-		defer cancel()
-		if err := callers.Finish(aborted); err != nil {
-			d.log.Warn().Int("in_progress", d.forward.Active()).Err(err).Msg("requests_abandoned")
-			// The connections end with the process whatever this returns.
-			_ = callers.Close()
-		}
+		d.abort(callers, abortRequests)
 	}
 	if tasks := d.stageClient.Finish(ctx); tasks > 0 {
 		d.log.Warn().Int("stage_tasks", tasks).Msg("stage_tasks_cut")
 	}
 }
 
+// finishRequests waits for the requests in progress until ctx ends with the stop. If the
+// process was paused then, they go on for a moment, but not beyond latest.
+func finishRequests(ctx context.Context, callers *graceful.Server, plan shutdown.Stop, latest time.Time) error {
+	err := callers.Finish(ctx)
+	if err == nil {
+		return nil
+	}
+	until := afterPause(time.Now(), plan, latest)
+	if until.IsZero() {
+		return err
+	}
+	ctx, cancel := context.WithDeadline(context.Background(), until)
+	defer cancel()
+	return callers.Finish(ctx)
+}
+
+// abort ends the requests in progress. Their callers get an answer if none has begun.
+func (d *Daemon) abort(callers *graceful.Server, abortRequests context.CancelCauseFunc) {
+	d.stopReport.sockets.callers.cutting.Store(true)
+	abortRequests(forward.ErrStopping)
+	ctx, cancel := context.WithTimeout(context.Background(), abortTime)
+	defer cancel()
+	if err := callers.Finish(ctx); err != nil {
+		d.log.Warn().Int("in_progress", d.forward.Active()).Err(err).Msg("requests_abandoned")
+		// The connections end with the process whatever this returns.
+		_ = callers.Close()
+	}
+}
+
 // linger waits until the process has run for d or ctx has ended. Time in which the
 // process was paused does not count: connections that were opened during the pause are
 // not accepted yet, and closing the listener would reset them.
