edge: see a delay that is the same each time

Cause: the monitor of delays compared the times between two checks, which does not show a process that is late by the same time at each. A signal also goes through two goroutines, each of which waits as long as a timer's.

Change: the time since the timer fired counts as well, and twice for the signal.

--- a/internal/edge/delay.go
+++ b/internal/edge/delay.go
@@ -19,6 +19,9 @@
 	// there, and pauseGrace the time that it then has to read what has arrived meanwhile.
 	minPauseAtEnd = 100 * time.Millisecond
 	pauseGrace    = 300 * time.Millisecond
+	// signalHops is the number of goroutines that a signal goes through, each as late as a
+	// timer's: that of os/signal and the one that stops the daemon.
+	signalHops = 2
 	// lateSlack is the delay that killMargin allows for.
 	lateSlack = killMargin - abortTime
 )
@@ -44,11 +47,12 @@
 	return &delayMonitor{interval: interval, last: now}
 }
 
-// observe records that the process runs now.
-func (m *delayMonitor) observe(now time.Time) {
+// observe records that the process runs now, because of a timer that fired at fired.
+func (m *delayMonitor) observe(now, fired time.Time) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if d := now.Sub(m.last) - m.interval; d > 0 {
+	// Where each interval is late by the same time, only the time since the timer shows it.
+	if d := max(now.Sub(m.last)-m.interval, now.Sub(fired)); d > 0 {
 		m.delays = append(m.delays, observedDelay{now, d})
 	}
 	for len(m.delays) > 0 && now.Sub(m.delays[0].at) > delayWindow {
@@ -87,7 +91,7 @@
 // process within from the signal on, which may be as old as the delay, and the last answers
 // are written by a process that runs late as well.
 func planStop(noticed time.Time, d schedulingDelay, within time.Duration) shutdown.Stop {
-	age := min(max(d.present, d.usual), time.Duration(maxAgeShare*float64(within)))
+	age := min(max(d.present, signalHops*d.usual), time.Duration(maxAgeShare*float64(within)))
 	early := min(max(age+d.usual-lateSlack, 0), time.Duration(maxEarlyShare*float64(within)))
 	return shutdown.Stop{Began: noticed.Add(-age), End: noticed.Add(within - killMargin - early)}
 }
--- a/internal/edge/sockets.go
+++ b/internal/edge/sockets.go
@@ -103,11 +103,11 @@
 		select {
 		case <-ctx.Done():
 			return
-		case <-t.C:
+		case fired := <-t.C:
+			now := time.Now()
+			s.clock.advance(now)
+			s.daemon.delays.observe(now, fired)
 		}
-		now := time.Now()
-		s.clock.advance(now)
-		s.daemon.delays.observe(now)
 		s.callers.sweep(s.daemon.memory.TakeRefused())
 		s.control.sweep(false)
 		if i%reportEvery == 0 {
