forward: log a request whose handler panics, and name the states of a stop

A request whose handler panicked was logged as answered, while its caller saw a closed connection. It ends with step serve now. The registry for the decisions of a stop is called stopStates, to tell it from the list of requests for the log.

--- a/internal/app/forward/answer.go
+++ b/internal/app/forward/answer.go
@@ -72,7 +72,7 @@
 			return f.retryFailedAnswer(ctx, rs, w, a, body)
 		}
 	}
-	f.inProgress.ended(rs.route.Name, f.now(), f.now().Sub(startTime))
+	f.stopStates.ended(rs.route.Name, f.now(), f.now().Sub(startTime))
 	f.latencies.observeWholeAnswer(rs.route.Name, f.now().Sub(startTime))
 	if ok {
 		f.contents.RecordSuccess(rs.fingerprint)
@@ -149,7 +149,7 @@
 		w.Header().Set("Content-Length", strconv.FormatInt(a.Length, 10))
 	}
 	rs.req.InProgress.Enter(PhaseStream)
-	f.inProgress.answering(rs)
+	f.stopStates.answering(rs)
 	rs.answerStarted, rs.outcome.Status, rs.outcome.FirstByte = true, a.Status, f.now().Sub(rs.req.Arrived)
 	rs.releaseBody()
 	w.WriteHeader(a.Status)
--- a/internal/app/forward/attempt.go
+++ b/internal/app/forward/attempt.go
@@ -96,7 +96,7 @@
 			rs.mayHaveRun = true
 			s.possibleRuns++
 		}
-		f.inProgress.failed(rs)
+		f.stopStates.failed(rs)
 		moves := s.moves
 		if moves {
 			s.left = e.ID
@@ -159,7 +159,7 @@
 	if len(candidates) == 0 || ctx.Err() != nil {
 		return nil, nil
 	}
-	if !f.inProgress.sent(rs, f.now()) {
+	if !f.stopStates.sent(rs, f.now()) {
 		return nil, stopRefusal("the daemon ends before the request could be sent")
 	}
 	a := f.newAttempt(ctx, s, candidates, try)
--- a/internal/app/forward/forward.go
+++ b/internal/app/forward/forward.go
@@ -44,7 +44,7 @@
 	parts       *quarantine.PartSet
 	self        core.InstanceID
 	stop        func() shutdown.Stop
-	inProgress  requestsInProgress
+	stopStates  stopStates
 	latencies   *routeLatencies
 	overloads   *overloadTracker
 	cold        coldPools
@@ -226,7 +226,12 @@
 	}
 	r.InProgress.Enter(PhaseAdmission)
 	rs := &requestState{req: r, outcome: Outcome{Request: r}}
+	served := false
 	defer func() {
+		if !served {
+			// A panic: the server closes the connection.
+			err, cut = &core.Error{Kind: core.Internal, Step: "serve", Detail: "the daemon failed while it served the request"}, true
+		}
 		rs.outcome.Route, rs.outcome.Pool, rs.outcome.Account, rs.outcome.Rank = rs.route, rs.pool, rs.account, rs.rank
 		rs.outcome.Total = f.now().Sub(r.Arrived)
 		rs.outcome.Err, rs.outcome.Cut = err, cut || rs.outcome.Cut
@@ -234,13 +239,20 @@
 		rs.outcome.CallerLeft = callerCtx.Err() != nil && context.Cause(callerCtx) != ErrStopping
 		f.events.RequestEnded(&rs.outcome)
 	}()
+	err, cut = f.serve(callerCtx, rs, w)
+	served = true
+	return err, cut
+}
+
+// serve does what Serve says.
+func (f *Forwarder) serve(callerCtx context.Context, rs *requestState, w http.ResponseWriter) (*core.Error, bool) {
 	if err := f.resolve(rs); err != nil {
 		return err, false
 	}
 	waitCtx, giveUp := context.WithCancelCause(callerCtx)
 	defer giveUp(nil)
-	f.inProgress.add(rs, giveUp)
-	defer f.inProgress.remove(rs)
+	f.stopStates.add(rs, giveUp)
+	defer f.stopStates.remove(rs)
 	ctx, cancel := context.WithDeadline(waitCtx, rs.deadline)
 	defer cancel()
 	if err := f.admitAndRunStages(ctx, rs); err != nil {
--- a/internal/app/forward/late_in_stop_test.go
+++ b/internal/app/forward/late_in_stop_test.go
@@ -56,7 +56,7 @@
 				timeout := cmp.Or(c.timeout, limit)
 				p.snapshot.Match("h", "/"+c.route+"/1").Timeout = timeout
 				for _, d := range c.measured {
-					p.forwarder.inProgress.ended(c.route, time.Now(), d)
+					p.forwarder.stopStates.ended(c.route, time.Now(), d)
 					p.forwarder.latencies.observeStreamDuration(c.route, d)
 				}
 				time.Sleep(c.measuredAgo + time.Second)
--- a/internal/app/forward/sending.go
+++ b/internal/app/forward/sending.go
@@ -101,7 +101,7 @@
 			return f.recordBrokenAnswer(ctx, rs, e, a, startTime, firstEventAt, err)
 		}
 		if !resumed && !firstEventAt.IsZero() {
-			f.inProgress.ended(rs.route.Name, f.now(), f.now().Sub(startTime))
+			f.stopStates.ended(rs.route.Name, f.now(), f.now().Sub(startTime))
 			f.latencies.observeStreamDuration(rs.route.Name, f.now().Sub(firstEventAt))
 		}
 		f.contents.RecordSuccess(rs.fingerprint)
--- a/internal/app/forward/stopping.go
+++ b/internal/app/forward/stopping.go
@@ -15,15 +15,15 @@
 // gives up.
 const giveUpInterval = 50 * time.Millisecond
 
-// requestsInProgress holds the requests in progress with their states, and the times of the
-// answers that have ended by route, from sending a request to the end of its answer.
-type requestsInProgress struct {
+// stopStates holds what a stop depends on: the requests in progress with their states, and
+// the times of the answers that have ended by route, from sending a request to the end of its answer.
+type stopStates struct {
 	mu       sync.Mutex
-	requests map[*requestState]*progress
+	requests map[*requestState]*stopState
 	times    map[string]*shutdown.Times
 }
 
-type progress struct {
+type stopState struct {
 	state shutdown.State
 	// sentAt is when the request was last sent to an endpoint.
 	sentAt time.Time
@@ -33,16 +33,16 @@
 }
 
 // add adds a request whose route is known.
-func (p *requestsInProgress) add(rs *requestState, giveUp context.CancelCauseFunc) {
+func (p *stopStates) add(rs *requestState, giveUp context.CancelCauseFunc) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.requests == nil {
-		p.requests = map[*requestState]*progress{}
+		p.requests = map[*requestState]*stopState{}
 	}
-	p.requests[rs] = &progress{giveUp: giveUp}
+	p.requests[rs] = &stopState{giveUp: giveUp}
 }
 
-func (p *requestsInProgress) remove(rs *requestState) {
+func (p *stopStates) remove(rs *requestState) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	delete(p.requests, rs)
@@ -50,7 +50,7 @@
 
 // sent records that a request is about to be sent. It returns false if the request was given
 // up: it then must not be sent, since its caller is told that it did not run.
-func (p *requestsInProgress) sent(rs *requestState, now time.Time) bool {
+func (p *stopStates) sent(rs *requestState, now time.Time) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	r := p.requests[rs]
@@ -65,7 +65,7 @@
 }
 
 // answering records that the caller gets an answer.
-func (p *requestsInProgress) answering(rs *requestState) {
+func (p *stopStates) answering(rs *requestState) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if r := p.requests[rs]; r != nil {
@@ -74,7 +74,7 @@
 }
 
 // failed records that a request has failed at an endpoint.
-func (p *requestsInProgress) failed(rs *requestState) {
+func (p *stopStates) failed(rs *requestState) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	r := p.requests[rs]
@@ -89,7 +89,7 @@
 }
 
 // ended records the time of an answer that has ended.
-func (p *requestsInProgress) ended(route string, now time.Time, d time.Duration) {
+func (p *stopStates) ended(route string, now time.Time, d time.Duration) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	t := p.times[route]
@@ -108,7 +108,7 @@
 
 // evidence returns what is known of the answers of a route: those that have ended lately,
 // and how long the oldest one has been in progress. p.mu is held.
-func (p *requestsInProgress) evidence(route string, now time.Time) shutdown.Estimate {
+func (p *stopStates) evidence(route string, now time.Time) shutdown.Estimate {
 	var e shutdown.Estimate
 	if t := p.times[route]; t != nil {
 		e = t.Estimate(now)
@@ -121,9 +121,9 @@
 	return e
 }
 
-// estimate returns the estimate of a route's answers. f.inProgress.mu is held.
+// estimate returns the estimate of a route's answers. f.stopStates.mu is held.
 func (f *Forwarder) estimate(route *catalog.Route, now time.Time) shutdown.Estimate {
-	e := f.inProgress.evidence(route.Name, now)
+	e := f.stopStates.evidence(route.Name, now)
 	e.Expected = f.expectedAnswerTime(route)
 	return e
 }
@@ -135,9 +135,9 @@
 	if stop.End.IsZero() {
 		return nil
 	}
-	f.inProgress.mu.Lock()
+	f.stopStates.mu.Lock()
 	e := f.estimate(rs.route, now)
-	f.inProgress.mu.Unlock()
+	f.stopStates.mu.Unlock()
 	d := shutdown.Decide(now, stop, shutdown.Request{State: state, Deadline: rs.deadline, Before: before, Answer: e})
 	if d.Allowed {
 		return nil
@@ -178,10 +178,10 @@
 
 func (f *Forwarder) giveUpWaiting() {
 	stop, now := f.stop(), f.now()
-	f.inProgress.mu.Lock()
-	defer f.inProgress.mu.Unlock()
+	f.stopStates.mu.Lock()
+	defer f.stopStates.mu.Unlock()
 	estimates := map[*catalog.Route]shutdown.Estimate{}
-	for rs, r := range f.inProgress.requests {
+	for rs, r := range f.stopStates.requests {
 		e, known := estimates[rs.route]
 		if !known {
 			e = f.estimate(rs.route, now)
--- a/internal/app/forward/stream.go
+++ b/internal/app/forward/stream.go
@@ -234,7 +234,7 @@
 		}
 		rs.answerStarted = true
 		rs.req.InProgress.Enter(PhaseStream)
-		s.forwarder.inProgress.answering(rs)
+		s.forwarder.stopStates.answering(rs)
 		rs.outcome.Status, rs.contentType = a.Status, a.Header.Get("Content-Type")
 		rs.outcome.FirstByte = s.forwarder.now().Sub(rs.req.Arrived)
 		s.w.WriteHeader(a.Status)
