forward: keep the stages' repetition if a move does not happen

Callers of a resumable stream behind stages got a part of it and a closed connection when their engine failed after it had been silent for a while.

Cause: the stages of a stream may run again once. A preparation for a move counts as that, also if the silent engine goes on first, its stages fail or the next engine refuses the stream, so that nothing is left when the engine breaks off later.

Change: a preparation whose results no endpoint got does not count when a stream has broken off. The stages wait until a preparation that was given up has ended, since both read the state of the request.

--- a/internal/app/forward/attempt.go
+++ b/internal/app/forward/attempt.go
@@ -114,7 +114,7 @@
 		}
 		if failure.Kind == core.Conflict || rs.inputs.inputsReleased() {
 			// The results that the request needs are gone, so the stages must run again.
-			if rs.stageRuns > 1 {
+			if !s.mayRunStagesAgain() {
 				break
 			}
 			rs.inputs.releaseAll()
--- a/internal/app/forward/fake_test.go
+++ b/internal/app/forward/fake_test.go
@@ -41,6 +41,8 @@
 	// endDelay is the time from body to io.EOF, pause that from body to rest.
 	endDelay, pause time.Duration
 	rest            string
+	// breaksOffAfterRest makes reading fail after rest.
+	breaksOffAfterRest bool
 }
 
 // fakePlatform implements the Forwarder's dependencies and records what it sends. Pool
@@ -230,6 +232,9 @@
 	if behavior.pause > 0 {
 		body = io.MultiReader(body, &delayedEOF{ctx, behavior.pause}, strings.NewReader(behavior.rest))
 	}
+	if behavior.breaksOffAfterRest {
+		body = io.MultiReader(body, brokenReader{})
+	}
 	if behavior.endDelay > 0 {
 		body = io.MultiReader(body, &delayedEOF{ctx, behavior.endDelay})
 	}
--- a/internal/app/forward/prepare.go
+++ b/internal/app/forward/prepare.go
@@ -67,6 +67,7 @@
 func (s *streamRelay) finishMove(ctx context.Context) bool {
 	p, f, rs := s.preparing, s.forwarder, s.state
 	s.preparing = nil
+	s.unusedRuns++
 	reason, err := "", s.streamError("the endpoint sent no event within the stall timeout", nil)
 	switch {
 	case p.err != nil:
@@ -79,7 +80,10 @@
 		reason = "stalled, no other endpoint has room"
 	default:
 		rs.inputs = p.inputs
-		return s.leave()
+		if s.leave() {
+			s.unusedRuns--
+		}
+		return s.moves
 	}
 	p.inputs.releaseAll()
 	f.events.RetryDecided(rs.req, rs.pool, reason, false, nil, err)
@@ -97,13 +101,25 @@
 		return
 	}
 	s.preparing = nil
+	s.unusedRuns++
 	p.cancel()
+	s.abandoned = p.done
 	go func() {
 		<-p.done
 		p.inputs.releaseAll()
 	}()
 }
 
+// mayRunStagesAgain reports whether the stages may run again for a stream that has broken
+// off: once, apart from a preparation that no endpoint got. It waits until a preparation that
+// was given up has ended.
+func (s *streamRelay) mayRunStagesAgain() bool {
+	if s.abandoned != nil {
+		<-s.abandoned
+	}
+	return s.state.stageRuns-s.unusedRuns <= 1
+}
+
 // useInputs waits for the preparation of a stream that has broken off meanwhile, and makes
 // its results the inputs of the next attempt. It returns false if there is no preparation.
 func (s *streamRelay) useInputs() (bool, error) {
--- a/internal/app/forward/stream.go
+++ b/internal/app/forward/stream.go
@@ -55,6 +55,10 @@
 	// prepare starts a preparation; preparing is the one in progress, or nil.
 	prepare   func() *preparation
 	preparing *preparation
+	// unusedRuns counts the preparations whose results no endpoint got. abandoned is closed
+	// when one that was given up has ended; nil if there is none.
+	unusedRuns int
+	abandoned  <-chan struct{}
 	// startNext sends the request to the next endpoint while the present one may go on, and
 	// returns nil if that one does not take it. next is the attempt with which the stream has
 	// left its endpoint; nil if there is none.
