graceful: a pipelined request keeps its connection in use

A caller that sends its next request before it has the answer to the last one got no answer to it if the stop was announced while it was served.

Cause: a connection counts as in use from the first byte that is read for a request until its answer ends. net/http may read the next request together with the one before, and then reads nothing for it: the connection counted as idle, its read deadline was set, and net/http took the failed read for a caller that had left.

Evidence: TestAPipelinedRequestInProgressSurvivesTheAnnouncement failed 3 of 3 times before.

Change: the beginning of the handler marks the connection as in use as well, and a read that fails meanwhile is repeated. An announcement between the end of one answer and the first read after it still meets such a request before its handler runs.

After: the package's tests pass 10 times with -race.

--- a/internal/graceful/conn.go
+++ b/internal/graceful/conn.go
@@ -25,7 +25,9 @@
 	// busy is set from the first byte of a request until it is answered.
 	busy bool
 	// closing is set on a connection that is closed unless a request has arrived.
-	closing  bool
+	closing bool
+	// reopened is set once such a connection stays open, until a read in progress has seen it.
+	reopened bool
 	answered bool
 }
 
@@ -33,17 +35,21 @@
 // arrived, or os.ErrDeadlineExceeded, upon which the server closes the connection without
 // a response.
 func (c *Conn) Read(b []byte) (int, error) {
-	n, err := 0, error(nil)
-	if !c.isClosing() {
-		n, err = c.Conn.Read(b)
-	}
-	if n == 0 && c.isClosing() {
-		n, err = c.readArrived(b)
-	}
-	if n > 0 {
-		c.markBusy()
+	for {
+		n, err := 0, error(nil)
+		if !c.isClosing() {
+			n, err = c.Conn.Read(b)
+		}
+		if n == 0 && c.isClosing() {
+			n, err = c.readArrived(b)
+		}
+		if n > 0 {
+			c.markBusy()
+		}
+		if n > 0 || !c.takeReopened() {
+			return n, err
+		}
 	}
-	return n, err
 }
 
 func (c *Conn) isClosing() bool {
@@ -57,12 +63,22 @@
 	defer c.mu.Unlock()
 	c.busy = true
 	if c.closing {
-		c.closing = false
+		c.closing, c.reopened = false, true
 		// If this fails, the next read does too.
 		_ = c.Conn.SetReadDeadline(time.Time{})
 	}
 }
 
+// takeReopened reports whether a read may have failed only because the connection was being
+// closed, which it no longer is.
+func (c *Conn) takeReopened() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	reopened := c.reopened
+	c.reopened = false
+	return reopened
+}
+
 // readArrived reads what has arrived without waiting for more.
 func (c *Conn) readArrived(b []byte) (int, error) {
 	conn, ok := c.Conn.(syscall.Conn)
--- a/internal/graceful/server.go
+++ b/internal/graceful/server.go
@@ -40,10 +40,20 @@
 func New(s *http.Server) *Server {
 	server := &Server{Server: s}
 	server.conns = connSet{stopping: &server.stopping, conns: map[*Conn]struct{}{}}
-	handler, hook := s.Handler, s.ConnState
+	handler, hook, connContext := s.Handler, s.ConnState, s.ConnContext
+	s.ConnContext = func(ctx context.Context, conn net.Conn) context.Context {
+		if connContext != nil {
+			ctx = connContext(ctx, conn)
+		}
+		return context.WithValue(ctx, connKey{}, FromConn(conn))
+	}
 	s.Handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		server.handling.Add(1)
 		defer server.handling.Add(-1)
+		if c, _ := r.Context().Value(connKey{}).(*Conn); c != nil {
+			// A pipelined request may have been read together with the one before.
+			c.markBusy()
+		}
 		handler.ServeHTTP(&closingWriter{ResponseWriter: w, stopping: &server.stopping}, r)
 	})
 	s.ConnState = func(conn net.Conn, state http.ConnState) {
@@ -57,6 +67,9 @@
 	return server
 }
 
+// connKey is the key of a connection's Conn in the contexts of its requests.
+type connKey struct{}
+
 // FromConn returns the Conn of which conn is made, or nil.
 func FromConn(conn net.Conn) *Conn {
 	for conn != nil {
