forward: guard the fakes of the tests with their lock

With the race detector five tests of the forwarder failed: TestAColdPoolRefuses- WhatCannotWait, TestFewRequestsWaitForColdEndpoints, TestAPermitDoesNotEndAPause, TestQuarantinedPartsAreCheckedBeforeEachSend and TestASilentStreamIsLeftOnlyOnce- ItsStagesHaveRun.

Cause: the fake platform's limits, pauses and counters, which requests in progress read and tests change, were not guarded, and tests changed the maps of the view of the endpoints in place, which the forwarder takes for immutable. No report names a race between two places of the code itself.

Change: the fake's fields are read and written under its lock, and a changed view replaces the old one. No check has changed.

--- a/internal/app/forward/cold_test.go
+++ b/internal/app/forward/cold_test.go
@@ -49,7 +49,11 @@
 		for _, l := range limits {
 			l.wait = 300 * time.Millisecond
 		}
-		time.AfterFunc(100*time.Millisecond, func() { limits[1].permits = 1 })
+		time.AfterFunc(100*time.Millisecond, func() {
+			p.mu.Lock()
+			defer p.mu.Unlock()
+			limits[1].permits = 1
+		})
 		began := time.Now()
 		status, err := p.get(t, "/once/x")
 		if took := time.Since(began); status != 200 || err != nil || took < 300*time.Millisecond || took > 400*time.Millisecond {
--- a/internal/app/forward/crashed_endpoint_test.go
+++ b/internal/app/forward/crashed_endpoint_test.go
@@ -5,6 +5,7 @@
 	"strings"
 	"testing"
 
+	"eelgrassgrade/internal/app/endpoints"
 	"eelgrassgrade/internal/core"
 )
 
@@ -17,17 +18,19 @@
 	const event, half, rest = "id: 1\ndata: x\n\n", "id: 1\ndata: x", "id: 2\ndata: y\n\n"
 	long := strings.Repeat("x", maxBufferedAnswerBytes+1)
 	sound := func(*fakePlatform, core.InstanceID) {}
-	left := func(p *fakePlatform, id core.InstanceID) { delete(p.view.ByID, id) }
+	left := func(p *fakePlatform, id core.InstanceID) {
+		p.changeView(func(v *endpoints.View) { delete(v.ByID, id) })
+	}
 	startedAgain := func(p *fakePlatform, id core.InstanceID) {
-		e := p.view.ByID[id]
-		e.StartedMs++
-		p.view.ByID[id] = e
+		p.startAgain(id, p.view.ByID[id].StartedMs+1)
 	}
 	addressReused := func(p *fakePlatform, id core.InstanceID) {
-		e := p.view.ByID[id]
-		delete(p.view.ByID, id)
-		e.ID = "other"
-		p.view.ByID[e.ID] = e
+		p.changeView(func(v *endpoints.View) {
+			e := v.ByID[id]
+			delete(v.ByID, id)
+			e.ID = "other"
+			v.ByID[e.ID] = e
+		})
 	}
 	for _, c := range []struct {
 		name, route, body string
--- a/internal/app/forward/fake_test.go
+++ b/internal/app/forward/fake_test.go
@@ -48,9 +48,10 @@
 type fakePlatform struct {
 	forwarder *Forwarder
 	snapshot  *catalog.Snapshot
-	view      *endpoints.View
 
-	mu sync.Mutex
+	// mu guards the fields below once requests are in progress, and the fakeLimits.
+	mu   sync.Mutex
+	view *endpoints.View
 	// respond decides what endpoint e does with the nth request sent.
 	respond       func(e core.Endpoint, r *EndpointRequest, n int) endpointBehavior
 	sentTo        []string
@@ -127,14 +128,31 @@
 		if err != nil {
 			t.Fatal(err)
 		}
-		p.forwarder = New(Options{Catalog: func() *catalog.Snapshot { return p.snapshot }, View: func() *endpoints.View { return p.view },
+		p.forwarder = New(Options{Catalog: func() *catalog.Snapshot { return p.snapshot }, View: p.currentView,
 			Fleet: func() *fleet.View { return &fleet.View{} }, Endpoints: p, Stages: p, PausedUntil: p.pausedUntil, Limits: p, Budget: p, Events: discardEvents{}, Now: time.Now, Stop: p.stop})
 		p.forwarder.SetEndpoints(p.view)
 		f(p)
 	})
 }
 
+// currentView returns the view, which the caller must not change.
+func (p *fakePlatform) currentView() *endpoints.View {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.view
+}
+
+// changeView replaces the view by a changed copy, as requests in progress read the old one.
+// The caller holds mu.
+func (p *fakePlatform) changeView(change func(*endpoints.View)) {
+	view := &endpoints.View{ByPool: maps.Clone(p.view.ByPool), ByID: maps.Clone(p.view.ByID)}
+	change(view)
+	p.view = view
+}
+
 func (p *fakePlatform) stop() shutdown.Stop {
+	p.mu.Lock()
+	defer p.mu.Unlock()
 	began := p.stopBegan
 	if began.IsZero() {
 		began = p.stopsAt
@@ -144,6 +162,8 @@
 
 // Limit implements Limits.
 func (p *fakePlatform) Limit(e endpoints.Entry) (float64, time.Duration, bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
 	l := p.limits[e.ID]
 	if l == nil {
 		return 0, 0, false
@@ -153,6 +173,8 @@
 
 // BlockedUntil implements Limits.
 func (p *fakePlatform) BlockedUntil(e endpoints.Entry, _ int) time.Time {
+	p.mu.Lock()
+	defer p.mu.Unlock()
 	if l := p.limits[e.ID]; l != nil {
 		return l.blockedUntil
 	}
@@ -161,6 +183,8 @@
 
 // ColdUntil implements Limits.
 func (p *fakePlatform) ColdUntil(e endpoints.Entry) (time.Time, bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
 	l := p.limits[e.ID]
 	if l == nil {
 		return time.Time{}, false
@@ -169,10 +193,16 @@
 }
 
 // ColdShare implements Limits.
-func (p *fakePlatform) ColdShare(e endpoints.Entry) float64 { return p.limits[e.ID].perSecond }
+func (p *fakePlatform) ColdShare(e endpoints.Entry) float64 {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.limits[e.ID].perSecond
+}
 
 // Acquire implements Limits.
 func (p *fakePlatform) Acquire(_ context.Context, e endpoints.Entry, _ int, _ core.RequestID) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
 	l := p.limits[e.ID]
 	if l == nil {
 		return true
@@ -187,16 +217,21 @@
 
 func (p *fakePlatform) RecordRequests(core.PoolID, int) {}
 func (p *fakePlatform) Take(core.PoolID, int) repeats.Decision {
+	p.mu.Lock()
+	defer p.mu.Unlock()
 	return repeats.Decision{Allowed: p.retriesAllowed}
 }
 
 func (p *fakePlatform) Reachable(context.Context, core.Endpoint) Reachability {
 	p.mu.Lock()
 	p.openAtCheck += p.openAnswers
+	checked := p.checked
 	p.mu.Unlock()
-	if p.checked != nil {
-		p.checked()
+	if checked != nil {
+		checked()
 	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
 	if p.reach != nil {
 		return *p.reach
 	}
@@ -286,8 +321,11 @@
 }
 
 func (p *fakePlatform) Run(ctx context.Context, t *stagework.Task) ([]stagework.Result, error) {
+	p.mu.Lock()
+	stageTime := p.stageTime
+	p.mu.Unlock()
 	select {
-	case <-time.After(max(p.stageTime, 100*time.Millisecond)):
+	case <-time.After(max(stageTime, 100*time.Millisecond)):
 	case <-ctx.Done():
 		return nil, &core.Error{Kind: core.DeadlineExceeded, Step: "stage", Ran: core.RanNot, Err: ctx.Err()}
 	}
@@ -311,6 +349,8 @@
 }
 
 func (p *fakePlatform) EstimateWait(core.PoolID, int, core.DataCenterID) time.Duration {
+	p.mu.Lock()
+	defer p.mu.Unlock()
 	return p.queueWait
 }
 
--- a/internal/app/forward/limit_test.go
+++ b/internal/app/forward/limit_test.go
@@ -130,6 +130,8 @@
 			return endpointBehavior{body: "id: 1\ndata: a\n\n"}
 		}
 		time.AfterFunc(150*time.Millisecond, func() {
+			p.mu.Lock()
+			defer p.mu.Unlock()
 			p.pauseEnds = map[core.InstanceID]time.Time{"e0": time.Now().Add(time.Minute)}
 		})
 		if _, err := p.get(t, "/staged/x"); err == nil || len(p.sentTo) != 0 {
--- a/internal/app/forward/move_test.go
+++ b/internal/app/forward/move_test.go
@@ -5,6 +5,7 @@
 	"testing"
 	"time"
 
+	"eelgrassgrade/internal/app/endpoints"
 	"eelgrassgrade/internal/core"
 	"eelgrassgrade/internal/decide/health"
 	"eelgrassgrade/internal/decide/placement"
@@ -64,7 +65,7 @@
 			for range 7 {
 				p.forwarder.tracker.requestStarted("p", "e1", 0)
 			}
-			p.view.ByPool["p"] = p.view.ByPool["p"][:2]
+			p.changeView(func(v *endpoints.View) { v.ByPool["p"] = v.ByPool["p"][:2] })
 			time.AfterFunc(2800*time.Millisecond, end)
 		}},
 		{name: "the others are ejected", endpoints: 3, attempts: 2, pauses: 1, pause: pause, wantSent: 1, wantEnd: pause, prepare: func(p *fakePlatform) {
@@ -93,7 +94,11 @@
 		{name: "the other endpoint refuses it and no retry is left", endpoints: 2, attempts: 2, pauses: 1, pause: pause, refuse: true, lastRetry: true, wantSent: 2, wantEnd: pause},
 		{name: "all other endpoints refuse it", endpoints: 6, attempts: 2, pauses: 1, pause: pause, refuse: true, wantSent: 4, wantEnd: pause},
 		{name: "the other endpoint leaves meanwhile", endpoints: 2, attempts: 2, pauses: 1, pause: pause, wantSent: 2, wantEnd: minStallTimeout, prepare: func(p *fakePlatform) {
-			p.checked = func() { p.view.ByPool["p"] = p.view.ByPool["p"][:1] }
+			p.checked = func() {
+				p.mu.Lock()
+				defer p.mu.Unlock()
+				p.changeView(func(v *endpoints.View) { v.ByPool["p"] = v.ByPool["p"][:1] })
+			}
 		}},
 		{name: "a part of the prompt is quarantined", endpoints: 3, attempts: 2, pauses: 1, pause: pause, wantSent: 1, wantEnd: pause, prepare: quarantinePart},
 		{name: "silent for good", endpoints: 1, attempts: 2, pauses: 1, pause: time.Hour, wantSent: 1, wantEnd: limit, wantCut: true},
--- a/internal/app/forward/pause_test.go
+++ b/internal/app/forward/pause_test.go
@@ -82,4 +82,8 @@
 // onePiecePerStage gives a request one piece in each of two stages.
 func onePiecePerStage(r *Request) { r.PieceCounts = []int{1, 1} }
 
-func (p *fakePlatform) pausedUntil(e endpoints.Entry) time.Time { return p.pauseEnds[e.ID] }
+func (p *fakePlatform) pausedUntil(e endpoints.Entry) time.Time {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.pauseEnds[e.ID]
+}
--- a/internal/app/forward/quarantine_test.go
+++ b/internal/app/forward/quarantine_test.go
@@ -8,6 +8,7 @@
 	"testing"
 	"time"
 
+	"eelgrassgrade/internal/app/endpoints"
 	"eelgrassgrade/internal/core"
 	"eelgrassgrade/internal/decide/placement"
 	"eelgrassgrade/internal/decide/quarantine"
@@ -34,6 +35,15 @@
 	}
 }
 
+// startAgain changes the start of an endpoint's run. The caller holds mu.
+func (p *fakePlatform) startAgain(id core.InstanceID, startedMs int64) {
+	p.changeView(func(v *endpoints.View) {
+		e := v.ByID[id]
+		e.StartedMs = startedMs
+		v.ByID[id] = e
+	})
+}
+
 // crashOn makes endpoints crash on requests with a part, before the first event.
 func (p *fakePlatform) crashOn(part string) {
 	p.unreachable = true
@@ -41,9 +51,7 @@
 		for _, x := range r.Prompt {
 			if x.ID == part {
 				// Each crash is one of another run.
-				entry := p.view.ByID[e.ID]
-				entry.StartedMs = int64(n)
-				p.view.ByID[e.ID] = entry
+				p.startAgain(e.ID, int64(n))
 				return endpointBehavior{breaksOff: true}
 			}
 		}
@@ -113,9 +121,7 @@
 			withFakePlatform(t, 6, func(p *fakePlatform) {
 				p.reach = &c.reach
 				p.respond = func(e core.Endpoint, _ *EndpointRequest, n int) endpointBehavior {
-					entry := p.view.ByID[e.ID]
-					entry.StartedMs = int64(n)
-					p.view.ByID[e.ID] = entry
+					p.startAgain(e.ID, int64(n))
 					return c.behavior
 				}
 				p.serveCrashes(4, "sys")
