stagework: keep a task at a silent coordinator until another has it

A request was refused for its spent retry budget although its stage was at work: its coordinator had sent no status for 1.1 s.

A daemon that is silent for 1.1 s counts as lost, and the call with the task was cancelled before another coordinator had taken it. That one needs a retry of the pool's budget, since the task may have run. A daemon that is starved of processor time is silent for that long.

Evidence: TestATaskOfASilentCoordinatorIsKeptUntilAnotherTakesIt failed after 1.1 s with 'the retry budget is spent', while the coordinator answers after 2 s.

Change: the task goes to the next coordinator as before, but the first call goes on. The first results count; if no other coordinator takes the task, its answer is awaited. What comes late is released. A lost connection ends its call at once, as before.

After: the test passes, and the package's with the race detector, twice.

--- a/internal/app/stagework/client.go
+++ b/internal/app/stagework/client.go
@@ -15,10 +15,6 @@
 )
 
 const (
-	// maxLostCoordinators and maxRefusals bound the coordinators that were lost with a task,
-	// and those that refused it or handed it back because they stop.
-	maxLostCoordinators = 3
-	maxRefusals         = 8
 	// releaseDelay is how long released results are collected before they are sent to
 	// their coordinators.
 	releaseDelay   = 5 * time.Millisecond
@@ -193,53 +189,6 @@
 	return grouping.Choose(string(t.Request), string(t.InputsDataCenter), groups, func(g grouping.Group) time.Duration { return c.groupWait(t.Pool, g, t.Rank) }).ID
 }
 
-// Run runs a task at the coordinator of its group. If that daemon is lost, the task is
-// submitted to the next candidate.
-func (c *Client) Run(ctx context.Context, t *Task) ([]Result, error) {
-	began := c.now()
-	// Before a daemon knows its peers, it would consider itself the coordinator of all
-	// groups.
-	select {
-	case <-c.fleet.Joined():
-	case <-ctx.Done():
-	}
-	group := c.chooseGroup(t)
-	var err error
-	var tried []string
-	for lost, refusals := 0, 0; lost < maxLostCoordinators && refusals < maxRefusals; {
-		if current := c.chooseGroup(t); err != nil && current != group {
-			// The groups of the pool have changed, or another group now has the shorter
-			// wait.
-			group, tried = current, nil
-		}
-		m, ok := c.nextCandidate(t.Pool, group, tried)
-		if !ok || group == noGroup {
-			break
-		}
-		tried = append(tried, m.Address)
-		var results []Result
-		results, err = c.submitTo(ctx, m, group, t)
-		if err == nil || ctx.Err() != nil || !isCoordinatorLost(err) {
-			c.events.TaskEnded(t, string(m.ID), c.now().Sub(began), err)
-			return results, err
-		}
-		t.CoordinatorErr = lossCause(err)
-		t.MayHaveRun = t.MayHaveRun || t.Started()
-		if core.AsError(err, "stage").Ran == core.RanNot {
-			refusals++
-			c.events.PieceRepeated(t, "coordinator "+string(m.ID)+" handed the task back", true, nil)
-			continue
-		}
-		lost++
-		c.events.PieceRepeated(t, "coordinator "+string(m.ID)+" lost", true, nil)
-	}
-	// The endpoint of the request has not got it: a stage that is lost with its coordinator
-	// has not run the request.
-	err = &core.Error{Kind: core.Unavailable, Step: "stage", Ran: core.RanNot, RetryAfter: time.Second, Detail: "no daemon is available to coordinate pool " + string(t.Pool), Err: err}
-	c.events.TaskEnded(t, "", c.now().Sub(began), err)
-	return nil, err
-}
-
 // nextCandidate returns the first candidate whose address is not in tried. If there is none
 // and this daemon is leaving, it returns this daemon.
 func (c *Client) nextCandidate(pool core.PoolID, group int, tried []string) (fleet.Member, bool) {
@@ -256,34 +205,6 @@
 	return c.self, leaving
 }
 
-// submitTo submits a task to one daemon and cancels the call when that daemon is lost.
-func (c *Client) submitTo(ctx context.Context, m fleet.Member, group int, t *Task) ([]Result, error) {
-	if m.ID == c.self.ID {
-		return c.local.Submit(ctx, group, t)
-	}
-	callCtx, cancel := context.WithCancel(ctx)
-	defer cancel()
-	lost, unwatch := c.fleet.Watch(m.Address)
-	defer unwatch()
-	done := make(chan struct{})
-	defer close(done)
-	go func() {
-		select {
-		case <-lost:
-			cancel()
-		case <-done:
-		}
-	}()
-	results, err := c.remote.Submit(callCtx, m.Address, group, t)
-	if isClosed(lost) {
-		err = nameLostPeer(err)
-	}
-	if err != nil && ctx.Err() != nil {
-		return nil, &core.Error{Kind: core.DeadlineExceeded, Step: "stage", Peer: string(m.ID), Ran: core.RanNot, Detail: "the caller disconnected or the deadline passed", Err: ctx.Err()}
-	}
-	return results, err
-}
-
 // LostCoordinator is the Detail of an error that tells the client to submit the task to
 // another coordinator or group: the daemon did not answer, is stopping, or does not
 // have the group.
--- a/internal/app/stagework/ports.go
+++ b/internal/app/stagework/ports.go
@@ -73,6 +73,14 @@
 	}
 }
 
+// copy returns a copy of the task for one submission. Its start is that of t.
+func (t *Task) copy() *Task {
+	return &Task{Pool: t.Pool, Request: t.Request, Account: t.Account, Stage: t.Stage, Pieces: t.Pieces, Key: t.Key, Inputs: t.Inputs, Rank: t.Rank,
+		LatestStart: t.LatestStart, Deadline: t.Deadline, ResultBytes: t.ResultBytes, InputsDataCenter: t.InputsDataCenter, PreferredDataCenter: t.PreferredDataCenter,
+		Homes: t.Homes, LargeInputs: t.LargeInputs, ExclusiveInputs: t.ExclusiveInputs, ExclusiveInputsPool: t.ExclusiveInputsPool, LaterStages: t.LaterStages,
+		MayHaveRun: t.MayHaveRun, FromPeer: t.FromPeer, OnStart: t.MarkStarted, CoordinatorErr: t.CoordinatorErr}
+}
+
 // Started reports whether a piece may have been sent to an endpoint.
 func (t *Task) Started() bool { return t.started.Load() }
 
