forward: stay with an engine that goes on while the next one is asked

A silent stream was left for the next engine although its own had gone on in the 0.2 s in which the next one may refuse it. The rest was produced twice, and where the next engine refused the stream after that and no retry was left, the caller's connection was cut.

Cause: what the present engine sends was not read while the next one was asked, and not looked at before the stream left it. The class is that of the silent streams.

Change: the present engine is read meanwhile. With an event, or the end of the stream, the next attempt is ended and the stream stays.

A refusal later than 0.2 s, of an engine that is asked while the present one stays silent, still needs a further retry.

--- a/internal/app/forward/prepare.go
+++ b/internal/app/forward/prepare.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"net/http"
 	"time"
 
@@ -140,6 +141,10 @@
 // meanwhile.
 const refusalTime = 200 * time.Millisecond
 
+// maxArrived bounds the chunks that are kept while the next endpoint is asked: a faulty
+// endpoint may send without end.
+const maxArrived = 4
+
 // startNext sends the request of a silent stream to the next endpoint and returns the attempt,
 // or nil if that one does not take it: the present endpoint may still go on.
 func (f *Forwarder) startNext(ctx context.Context, s *streamRelay) *attempt {
@@ -150,24 +155,62 @@
 	}
 	next := f.newAttempt(ctx, s, candidates, rs.outcome.Attempts+s.refusals+1)
 	next.start()
-	select {
-	case <-next.done:
-	case <-time.After(refusalTime):
+	goesOn := s.awaitNext(next)
+	switch {
+	case goesOn:
+		next.cancel()
+		<-next.done
+	case !next.answered():
 		return next
-	}
-	if next.err == nil && next.answer.Genuine && next.answer.Status == http.StatusOK && !rs.cannotContinue(next.answer) {
+	case next.err == nil && next.answer.Genuine && next.answer.Status == http.StatusOK && !rs.cannotContinue(next.answer):
 		return next
 	}
-	f.recordRefusal(s, next)
+	f.recordRefusal(s, next, goesOn)
 	return nil
 }
 
+// awaitNext waits for the answer of the next endpoint, for refusalTime at most. It returns
+// true as soon as the present endpoint sends an event or the end of the stream.
+func (s *streamRelay) awaitNext(next *attempt) bool {
+	t := time.NewTimer(refusalTime)
+	defer t.Stop()
+	chunks := s.chunks
+	for waiting := true; waiting; {
+		select {
+		case c := <-chunks:
+			if s.keepChunk(c) {
+				return true
+			}
+			if c.err != nil || len(s.arrived) == maxArrived {
+				chunks = nil
+			}
+		case <-next.done:
+			waiting = false
+		case <-t.C:
+			waiting = false
+		}
+	}
+	select {
+	case c := <-chunks:
+		return s.keepChunk(c)
+	default:
+		return false
+	}
+}
+
+// keepChunk keeps a chunk of the present endpoint for the case that the stream stays there.
+// It reports whether the endpoint goes on.
+func (s *streamRelay) keepChunk(c chunk) bool {
+	s.arrived = append(s.arrived, c)
+	return findLastEventID(c.data) != "" || c.err == io.EOF
+}
+
 // triesSpent reports whether a stream may be sent to no further endpoint beside the present one.
 func (s *streamRelay) triesSpent() bool { return s.state.outcome.Attempts+s.refusals >= maxTries }
 
-// recordRefusal records that an endpoint has not taken a stream that has not left another
-// one for it.
-func (f *Forwarder) recordRefusal(s *streamRelay, next *attempt) {
+// recordRefusal records that an endpoint has not taken over a stream, or that the stream stays
+// since its present endpoint goes on.
+func (f *Forwarder) recordRefusal(s *streamRelay, next *attempt, goesOn bool) {
 	rs, id := s.state, next.candidate.Endpoint.ID
 	s.refusals++
 	err := &core.Error{Kind: core.Unavailable, Step: "endpoint", Peer: string(id), Ran: core.RanNot, Detail: "the endpoint did not take over the stream"}
@@ -179,8 +222,12 @@
 		s.possibleRuns++
 	}
 	next.end()
-	f.tracker.observe(rs.pool, id, health.Sample{}, err.Step == "connect")
-	f.events.RetryDecided(rs.req, rs.pool, "stalled, the next endpoint did not take it", false, nil, err)
+	reason := "stalled, the endpoint went on while the next one was asked"
+	if !goesOn {
+		reason = "stalled, the next endpoint did not take it"
+		f.tracker.observe(rs.pool, id, health.Sample{}, err.Step == "connect")
+	}
+	f.events.RetryDecided(rs.req, rs.pool, reason, false, nil, err)
 }
 
 // takeNext returns the attempt with which the stream has left its endpoint, or nil.
--- a/internal/app/forward/sending.go
+++ b/internal/app/forward/sending.go
@@ -40,6 +40,16 @@
 	}()
 }
 
+// answered reports whether send has returned.
+func (a *attempt) answered() bool {
+	select {
+	case <-a.done:
+		return true
+	default:
+		return false
+	}
+}
+
 // end ends the call and gives up the rest of its answer.
 func (a *attempt) end() {
 	a.cancel()
--- a/internal/app/forward/stream.go
+++ b/internal/app/forward/stream.go
@@ -64,6 +64,10 @@
 	// left its endpoint; nil if there is none.
 	startNext func() *attempt
 	next      *attempt
+	// chunks is what the present endpoint sends. arrived holds what was read of it while the
+	// next endpoint was asked.
+	chunks  <-chan chunk
+	arrived []chunk
 	// refusals counts the endpoints that did not take the stream over.
 	refusals int
 	// left is the endpoint that the stream has left for its silence; empty if there is none
@@ -85,6 +89,7 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	chunks := readChunks(ctx, fairReader{a.Body})
+	s.arrived = nil
 	buffer := eventBuffer{memory: s.forwarder.memory, ask: clients.Ask{Kind: clients.Answer, Rank: s.state.rank, Account: s.state.account}}
 	defer buffer.release()
 	resumed := s.lastEventID != "" || s.state.req.ResumeAfter != ""
@@ -151,6 +156,7 @@
 // stalled since lastEventAt, when the last event was sent to the caller, and goes on at
 // another endpoint.
 func (s *streamRelay) nextChunk(ctx context.Context, chunks <-chan chunk, resumable bool, lastEventAt time.Time) (chunk, bool) {
+	s.chunks = chunks
 	if !resumable {
 		// When ctx ends, readChunks stops without sending a chunk.
 		select {
@@ -169,6 +175,11 @@
 	t := time.NewTimer(stallAt.Sub(s.forwarder.now()))
 	defer t.Stop()
 	for {
+		if len(s.arrived) > 0 {
+			c := s.arrived[0]
+			s.arrived = s.arrived[1:]
+			return c, true
+		}
 		select {
 		case c := <-chunks:
 			return c, true
