--- a/internal/app/forward/stalled_stages_test.go
+++ b/internal/app/forward/stalled_stages_test.go
@@ -71,6 +71,8 @@
 					t.Errorf("%d stages ran again, want %d", n, c.wantTasks)
 				}
 				time.Sleep(time.Second)
+				p.mu.Lock()
+				defer p.mu.Unlock()
 				produced := 0
 				for _, task := range p.tasks {
 					produced += task.Pieces
