fleetrpc: keep the tasks of connections that are replaced again and again

Stage tasks ended with a lost coordinator, took retry budget and ran again, although their coordinator worked on them and answered on all connections.

Cause: a daemon that answers exchanges late for some seconds has its connection replaced after each two of them. Two replaced connections are kept for their calls; the third closed the oldest with its calls in progress.

Change: at the bound, the oldest connection is used for new calls again if the daemon has answered its check within the last 2 s; otherwise it is closed as before. The number of connections stays bounded.

--- a/internal/adapter/fleetrpc/conns.go
+++ b/internal/adapter/fleetrpc/conns.go
@@ -26,8 +26,10 @@
 	// recheckInterval is the time between two checks of a replaced connection.
 	recheckInterval = 300 * time.Millisecond
 	// maxReplaced bounds the replaced connections to one daemon that are kept for their
-	// calls. Beyond it, the oldest is closed.
+	// calls. Beyond it, the oldest is used for new calls again if it has answered within
+	// provenTime, and closed otherwise.
 	maxReplaced = 2
+	provenTime  = 2 * time.Second
 )
 
 // CutReason says why a connection with calls in progress was closed.
@@ -47,6 +49,9 @@
 	calls int
 	// replaced says that new calls use another connection.
 	replaced bool
+	// checked says that checkReplaced runs, answeredAt is when the daemon last answered it.
+	checked    bool
+	answeredAt time.Time
 }
 
 // daemonClient calls one daemon. done must be called when the call has ended.
@@ -127,55 +132,72 @@
 	}
 	old.replaced = true
 	if c.replaced[address] = append(c.replaced[address], old); len(c.replaced[address]) > maxReplaced {
-		c.cut(address, c.replaced[address][0], CutBound)
+		c.reuseOrCut(address, c.replaced[address][0])
+	}
+	if !old.checked {
+		old.checked = true
+		go c.checkReplaced(address, old)
 	}
-	go c.checkReplaced(address, old)
 	return old.calls
 }
 
+// reuseOrCut uses a replaced connection for new calls again, or closes it if the daemon has
+// not answered on it lately. The caller holds mu.
+func (c *Client) reuseOrCut(address string, old *conn) {
+	if c.now().Sub(old.answeredAt) > provenTime {
+		c.cut(address, old, CutBound)
+		return
+	}
+	c.replaced[address] = slices.DeleteFunc(c.replaced[address], func(x *conn) bool { return x == old })
+	old.replaced = false
+	c.conns[address] = old
+}
+
 // checkReplaced closes a replaced connection if it is dead. It returns when the connection
-// is closed.
+// is closed or used for new calls again.
 func (c *Client) checkReplaced(address string, old *conn) {
 	for c.isReplaced(address, old) {
-		if c.isDead(address, old) {
-			c.mu.Lock()
+		dead, answered := c.check(address, old)
+		c.mu.Lock()
+		if answered {
+			old.answeredAt = c.now()
+		}
+		if dead && slices.Contains(c.replaced[address], old) {
 			c.cut(address, old, CutDead)
-			c.mu.Unlock()
-			return
 		}
+		c.mu.Unlock()
 		time.Sleep(recheckInterval)
 	}
 }
 
-// isReplaced reports whether a replaced connection is still open.
+// isReplaced reports whether a replaced connection is still open. If not, it is no longer
+// checked.
 func (c *Client) isReplaced(address string, old *conn) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return slices.Contains(c.replaced[address], old)
+	old.checked = slices.Contains(c.replaced[address], old)
+	return old.checked
 }
 
-// isDead reports whether a daemon answers on its present connection and not on a replaced
-// one. Time in which it answers on neither, or in which this process is paused, does not
-// count.
-func (c *Client) isDead(address string, old *conn) bool {
+// check reports whether a replaced connection is dead, since the daemon answers on its present
+// one and not there, or whether it answers there. Time in which it answers on neither, or in
+// which this process is paused, does not count.
+func (c *Client) check(address string, old *conn) (dead, answered bool) {
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
-	answered := make(chan struct{})
-	go func() {
-		defer close(answered)
-		ping(ctx, old)
-	}()
+	result := make(chan bool, 1)
+	go func() { result <- ping(ctx, old) }()
 	for unanswered := 0; unanswered < maxUnansweredPings; {
 		if c.pingCurrent(ctx, address) {
 			unanswered++
 		}
 		select {
-		case <-answered:
-			return false
+		case answered = <-result:
+			return false, answered
 		case <-time.After(pingInterval):
 		}
 	}
-	return true
+	return true, false
 }
 
 // pingCurrent reports whether a daemon answers on its present connection.
