dispatch: keep a stalled stream until another endpoint takes it

Callers of daemons that call engines by the project's own protocol saw streams end with an error although their engine went on: it had been silent for a second, the stream was cancelled for another endpoint, and that one refused it, could not be connected, closed the connection, or the daemon might not send at that moment. The retry that the move took was spent, so there was no way back. A stream whose body cannot be made to resume from was cancelled as well.

Cause: the attempt was cancelled once a free endpoint and a retry were there, before the next attempt was sent.

It forwards nothing until the first is cancelled, which happens when the next endpoint has sent an event, or has not refused the call within 0.2 s. If the first one sends an event before, or the next one is refused or gets no capacity in that time, the stream stays. If the first one breaks off meanwhile, the next one goes on without another retry. As a hedge, the next attempt goes only to an untried endpoint with a free slot. Since both run at once, both count towards the two endpoints that may run equal, unproven content: a stream whose content runs on another endpoint stays.

A refusal still counts as an attempt of the stream and takes a retry. An endpoint that fails after it has taken the stream over needs a retry for the way back.

--- a/internal/app/dispatch/attempt.go
+++ b/internal/app/dispatch/attempt.go
@@ -23,6 +23,8 @@
 	errLostRace = errors.ConstError("another attempt answered first")
 	// errStalled: a stream delivered no event for too long.
 	errStalled = errors.ConstError("the stream stalled")
+	// errNotNeeded: the stream goes on at the endpoint that was to be left.
+	errNotNeeded = errors.ConstError("the stream goes on elsewhere")
 	// errPoolTimeout: the call exceeded the timeout that is configured for calls
 	// of its pool.
 	errPoolTimeout = errors.ConstError("the pool's timeout passed")
@@ -32,8 +34,8 @@
 type sendFunc func(ctx context.Context, c core.Call) error
 
 // attempt makes one attempt. onSend, if not nil, is called immediately before
-// the call is handed to the transport. A hedge goes only to an endpoint that
-// the job has not tried.
+// the call is handed to the transport. A hedge, or the handover of a stream, goes
+// only to an endpoint that the job has not tried.
 func (j *job) attempt(ctx context.Context, hedge bool, onSend func(), send sendFunc) *failure {
 	number := int(j.attempts.Add(1))
 	for {
@@ -300,12 +302,7 @@
 	if stillSuspect != r.suspect || r.suspect && len(running) > 0 {
 		return closedChan, nil
 	}
-	// Equal content goes to the endpoints that already run it, unless it has
-	// proved harmless.
-	sameContent := running
-	if p.isProven(j.fingerprint) {
-		sameContent = nil
-	}
+	sameContent := p.limitedContent(j.fingerprint)
 	e, reason, blocked := p.choose(j, m, r.suspect, sameContent)
 	if e == nil && !blocked && !r.hedge && j.forgetTried() {
 		e, reason, blocked = p.choose(j, m, r.suspect, sameContent)
--- a/internal/app/dispatch/crash.go
+++ b/internal/app/dispatch/crash.go
@@ -73,6 +73,15 @@
 	return ok
 }
 
+// limitedContent returns the endpoints that run the content and to which it is limited, or
+// nil if it has proved harmless. The caller holds t.mu.
+func (t *contentTracker) limitedContent(fingerprint [32]byte) []*endpoint {
+	if t.isProven(fingerprint) {
+		return nil
+	}
+	return t.runningOn[fingerprint]
+}
+
 // unmarkProven discards the successful runs of contents that were in flight in
 // a crash.
 func (t *contentTracker) unmarkProven(list []quarantine.InFlight) {
--- a/internal/app/dispatch/dispatcher.go
+++ b/internal/app/dispatch/dispatcher.go
@@ -149,15 +149,9 @@
 	ctx, cancel := context.WithDeadline(ctx, t.Deadline)
 	defer cancel()
 	j := newJob(d.pool(t.Pool), t, health.Streaming)
-	s := &stream{job: j, emit: emit, body: t.Body}
-	for {
-		f := s.attempt(ctx)
-		if f == nil {
-			return nil
-		}
-		moves := s.moves.Swap(false)
-		if !s.prepareResume(f) || !moves && !j.awaitRetry(ctx, f) {
-			return j.finish(f.err)
-		}
+	s := &stream{job: j, emit: emit}
+	if f := s.run(ctx); f != nil {
+		return j.finish(f.err)
 	}
+	return nil
 }
--- a/internal/app/dispatch/job.go
+++ b/internal/app/dispatch/job.go
@@ -152,7 +152,7 @@
 }
 
 // hasFreeEndpoint reports whether a healthy endpoint with a free slot that was not tried
-// can take the job, apart from the one that runs it.
+// can take the job beside the one that runs it.
 func (j *job) hasFreeEndpoint() bool {
 	p := j.pool
 	m := p.currentMembers()
@@ -162,8 +162,7 @@
 		// A suspect may not be sent on for its silence.
 		return false
 	}
-	others := slices.DeleteFunc(slices.Clone(p.runningOn[j.fingerprint]), j.wasTried)
-	e, reason, blocked := p.choose(j, m, false, others)
+	e, reason, blocked := p.choose(j, m, false, p.limitedContent(j.fingerprint))
 	st := statusOf(e)
 	return e != nil && !blocked && reason != routing.ByOverload && !st.Failing && st.EjectedUntil.IsZero()
 }
