edge: let answers that have begun go on until the last moment

Cause: the end of a stop was moved earlier for all requests. Those without an answer need that, since their callers get nothing if the process is killed. For an answer that has begun a kill is no worse than the cut.

A stream waits 0.3 s for the refusal of its next engine.

--- a/internal/app/forward/prepare.go
+++ b/internal/app/forward/prepare.go
@@ -139,7 +139,7 @@
 // refusalTime is how long the endpoint that a stream leaves may go on beside the next one,
 // which refuses a request at once if it does not take it. Both produce the same events
 // meanwhile.
-const refusalTime = 200 * time.Millisecond
+const refusalTime = 300 * time.Millisecond
 
 // maxArrived bounds the chunks that are kept while the next endpoint is asked: a faulty
 // endpoint may send without end.
--- a/internal/edge/delay.go
+++ b/internal/edge/delay.go
@@ -89,22 +89,23 @@
 
 // planStop returns the stop whose signal was noticed at noticed. The platform kills the
 // process within from the signal on, which may be as old as the delay, and the last answers
-// are written by a process that runs late as well.
+// are written by a process that runs late as well. Requests without an answer have to have
+// ended at its end.
 func planStop(noticed time.Time, d schedulingDelay, within time.Duration) shutdown.Stop {
 	age := min(max(d.present, signalHops*d.usual), time.Duration(maxAgeShare*float64(within)))
 	early := min(max(age+d.usual-lateSlack, 0), time.Duration(maxEarlyShare*float64(within)))
 	return shutdown.Stop{Began: noticed.Add(-age), End: noticed.Add(within - killMargin - early)}
 }
 
-// afterPause returns until when requests go on although the stop has ended at now: the rest
+// afterPause returns until when requests go on although their time has ended at end: the rest
 // of their answers may have arrived while the process was paused. It is the zero time if the
 // process was not paused, or if nothing is left until latest.
-func afterPause(now time.Time, s shutdown.Stop, latest time.Time) time.Time {
+func afterPause(now, end, latest time.Time) time.Time {
 	until := now.Add(pauseGrace)
 	if latest.Before(until) {
 		until = latest
 	}
-	if now.Sub(s.End) < minPauseAtEnd || !until.After(now) {
+	if now.Sub(end) < minPauseAtEnd || !until.After(now) {
 		return time.Time{}
 	}
 	return until
--- a/internal/edge/delay_test.go
+++ b/internal/edge/delay_test.go
@@ -3,8 +3,6 @@
 import (
 	"testing"
 	"time"
-
-	"eelgrassgrade/internal/decide/shutdown"
 )
 
 // Guards against a daemon that is starved of processor time, notices the signal to stop late
@@ -54,7 +52,7 @@
 		{0, 0}, {minPauseAtEnd - 1, 0}, {200 * time.Millisecond, pauseGrace}, {500 * time.Millisecond, 100 * time.Millisecond}, {700 * time.Millisecond, 0},
 	} {
 		now := end.Add(c.late)
-		until := afterPause(now, shutdown.Stop{End: end}, latest)
+		until := afterPause(now, end, latest)
 		if until.IsZero() != (c.goesOn == 0) || !until.IsZero() && until.Sub(now) != c.goesOn {
 			t.Errorf("%v after the end: requests go on until %v", c.late, until)
 		}
--- a/internal/edge/lifecycle.go
+++ b/internal/edge/lifecycle.go
@@ -8,7 +8,6 @@
 
 	"eelgrassgrade/internal/app/fleet"
 	"eelgrassgrade/internal/app/forward"
-	"eelgrassgrade/internal/decide/shutdown"
 	"eelgrassgrade/internal/graceful"
 	"eelgrassgrade/internal/settings"
 )
@@ -87,12 +86,15 @@
 	grace := seconds(d.settings.StopWithinS)
 	plan := planStop(noticed, delay, grace)
 	d.stopPlan.Store(&plan)
-	defer d.stopReport.begin(noticed, plan.End, delay)()
+	// Answers that have begun go on beyond the plan's end, since their callers lose nothing if
+	// the process is killed before.
+	cut := noticed.Add(grace - killMargin)
+	defer d.stopReport.begin(noticed, cut, delay)()
 	if tasks := d.coordinator.HandBack(); tasks > 0 {
 		d.log.Info().Int("stage_tasks", tasks).Msg("stage_tasks_handed_back")
 	}
 	callers.AnnounceStop()
-	ctx, cancel := context.WithDeadline(context.Background(), plan.End)
+	ctx, cancel := context.WithDeadline(context.Background(), cut)
 	defer cancel()
 	go func() {
 		if err := d.store.Remove(ctx, daemonTableName, d.settings.Instance); err != nil {
@@ -101,7 +103,7 @@
 	}()
 	go d.forward.GiveUpWaiting(ctx)
 	linger(ctx, lingerTime, time.Now, time.Sleep)
-	if err := finishRequests(ctx, callers, plan, noticed.Add(grace-killMargin)); err != nil {
+	if err := finishRequests(ctx, callers, cut, noticed.Add(grace-abortTime)); err != nil {
 		d.log.Warn().Int("in_progress", d.forward.Active()).Err(err).Msg("requests_cut")
 		d.abort(callers, abortRequests)
 	}
@@ -110,14 +112,14 @@
 	}
 }
 
-// finishRequests waits for the requests in progress until ctx ends with the stop. If the
-// process was paused then, they go on for a moment, but not beyond latest.
-func finishRequests(ctx context.Context, callers *graceful.Server, plan shutdown.Stop, latest time.Time) error {
+// finishRequests waits for the requests in progress until ctx ends, at end. If the process
+// was paused then, they go on for a moment, but not beyond latest.
+func finishRequests(ctx context.Context, callers *graceful.Server, end, latest time.Time) error {
 	err := callers.Finish(ctx)
 	if err == nil {
 		return nil
 	}
-	until := afterPause(time.Now(), plan, latest)
+	until := afterPause(time.Now(), end, latest)
 	if until.IsZero() {
 		return err
 	}
