--- a/internal/app/forward/forward.go
+++ b/internal/app/forward/forward.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"fmt"
 	"math/rand/v2"
 	"net/http"
 	"sync/atomic"
@@ -150,69 +149,6 @@
 	f.contents.Merge(from, list)
 }
 
-// requestState is the state of one request in progress.
-type requestState struct {
-	req      *Request
-	route    *catalog.Route
-	pool     core.PoolID
-	snapshot *catalog.Snapshot
-	account  core.AccountID
-	rank     int
-	// homes holds the regions whose endpoints may get the request.
-	homes catalog.Homes
-	// targetStart is the time by which the answer should start and startDeadline the
-	// time at which the caller leaves if it has not started. After deadline the answer
-	// is useless even if it is complete.
-	targetStart, startDeadline, deadline time.Time
-	// stagesDeadline is the time by which the stages must be done so that the answer
-	// can start by startDeadline and be complete by deadline.
-	stagesDeadline time.Time
-	plan           plan
-	// firstEventProbe is true if the request is to correct the estimate of the time to the
-	// first event of its route.
-	firstEventProbe bool
-	// preferredDataCenter is the data centre of the best endpoint when the stages were
-	// planned. Stage results are best produced there.
-	preferredDataCenter core.DataCenterID
-	fingerprint         uint64
-	// parts are the parts of the prompt that other requests may have too.
-	parts []quarantine.Part
-	// probe is true if the request may be sent once although one of its parts is
-	// quarantined.
-	probe bool
-	// sentTo is the endpoint that the request was sent to last, endpointRun its run then.
-	sentTo      core.Endpoint
-	endpointRun quarantine.EndpointRun
-	inputs      *stageResults
-	// stageRuns counts how often the stages were run.
-	stageRuns int
-	outcome   Outcome
-	// coldWait is how long the request has waited for permits for cold endpoints.
-	coldWait time.Duration
-	// permit is the endpoint for which the request has had a permit since permitAt; empty
-	// if it has none.
-	permit   core.InstanceID
-	permitAt time.Time
-	// mayHaveRun is true if an endpoint may have run the request.
-	mayHaveRun bool
-	// answerStarted is true if the answer's status and header were sent to the caller.
-	answerStarted bool
-	// withinEvent is true while the caller has the beginning of an event without its end,
-	// so that no other endpoint can go on with the stream.
-	withinEvent bool
-	// contentType is the content type of the answer that was started.
-	contentType string
-	// bodyReleased is true if the request's body is gone, so that no endpoint can get the
-	// request any more.
-	bodyReleased bool
-}
-
-// releaseBody gives up the body of a request that no other endpoint will get.
-func (rs *requestState) releaseBody() {
-	rs.bodyReleased = true
-	rs.req.releaseBody()
-}
-
 // Serve runs a request and writes its answer to w. If it returns an error and cut
 // is false, nothing was written to w and the error is to be reported to the caller.
 // If cut is true, the answer was started but not completed, and the connection must
@@ -356,95 +292,3 @@
 
 // maxRank is the rank of the least urgent requests.
 const maxRank = 9
-
-// admitAndRunStages runs the stages of a request if its answer can be expected in
-// time, and returns an error otherwise.
-func (f *Forwarder) admitAndRunStages(ctx context.Context, rs *requestState) error {
-	f.budget.RecordRequests(rs.pool, 1)
-	if len(rs.route.Stages) == 0 {
-		return nil
-	}
-	if c := f.candidates(rs, nil); len(c) > 0 {
-		rs.preferredDataCenter = c[0].Endpoint.DataCenter
-	}
-	for i, s := range rs.route.Stages {
-		if pieceCount(rs.req.PieceCounts, i) > 0 && len(f.endpointsFor(rs, s.Pool)) == 0 {
-			return &core.Error{Kind: core.Unavailable, Step: "admission", Ran: core.RanNot, RetryAfter: time.Second, Detail: "no endpoint of pool " + string(s.Pool) + " accepts work"}
-		}
-	}
-	if err := f.poolClosedError(rs); err != nil && f.now().Add(err.RetryAfter).After(rs.startDeadline) {
-		return err
-	}
-	rs.plan = newPlan(rs.route, rs.snapshot, rs.req.PieceCounts, f.plannedFirstEvent(rs),
-		func(i int) time.Duration {
-			return f.stages.EstimateWait(rs.route.Stages[i].Pool, rs.rank, rs.preferredDataCenter)
-		})
-	rs.stagesDeadline = rs.startDeadline.Add(-rs.plan.firstEventTime)
-	// The expected duration is capped at half of the request's time. Otherwise an
-	// estimate that is too long would reject all requests of the route, and no new
-	// measurement would ever correct it.
-	streamDuration := min(f.latencies.expectedStreamDuration(rs.route.Name), rs.deadline.Sub(rs.req.Arrived)/2)
-	if latestStagesEnd := rs.deadline.Add(-rs.plan.firstEventTime - streamDuration); latestStagesEnd.Before(rs.stagesDeadline) {
-		rs.stagesDeadline = latestStagesEnd
-	}
-	now := f.now()
-	if timeLeft := rs.stagesDeadline.Sub(now) + rs.plan.firstEventTime; !rs.plan.admits(timeLeft, rs.targetStart.Sub(now)) {
-		f.latencies.recordStopped(rs.route.Name)
-		// The present queues will be worked off after longestWait.
-		return &core.Error{Kind: core.Unavailable, Step: "admission", Ran: core.RanNot, RetryAfter: rs.plan.longestWait,
-			Detail: fmt.Sprintf("the queues of the stages are too long: the answer is expected to start in %d ms (%d ms without queueing), the time left is %d ms until the limit and %d ms until the target",
-				rs.plan.expectedTime.Milliseconds(), rs.plan.unqueuedTime.Milliseconds(), timeLeft.Milliseconds(), rs.targetStart.Sub(now).Milliseconds())}
-	}
-	if err := f.stopError(rs, shutdown.NotRun, rs.plan.stagesTime()); err != nil {
-		return err
-	}
-	if err := f.reservePermit(ctx, rs); err != nil {
-		return err
-	}
-	err := f.runStagesWithRetry(ctx, rs)
-	if err != nil {
-		f.latencies.recordStopped(rs.route.Name)
-	}
-	return err
-}
-
-// plannedFirstEvent returns the time from the end of the stages to the first event that a
-// request is planned with: the estimate of its route, or the time that is assumed without
-// one if the request is to correct the estimate.
-func (f *Forwarder) plannedFirstEvent(rs *requestState) time.Duration {
-	expected := f.latencies.expectedFirstEvent(rs.route.Name)
-	probe, age := f.latencies.takeFirstEventProbe(f.now(), rs.route.Name)
-	if !probe {
-		return expected
-	}
-	rs.firstEventProbe = true
-	f.events.FirstEventProbed(rs.req, rs.route.Name, expected, age)
-	return defaultFirstEventTime
-}
-
-// runStagesWithRetry runs the stages of a request and sets its inputs. If results are
-// lost on the way, it runs all stages once more, provided that the time suffices.
-func (f *Forwarder) runStagesWithRetry(ctx context.Context, rs *requestState) error {
-	rs.stageRuns++
-	rs.req.InProgress.Enter(PhaseStages)
-	// The time left after the stages must suffice for the request itself. A caller
-	// that cannot be served in time gets the error before it leaves.
-	ctx, cancel := context.WithDeadline(ctx, rs.stagesDeadline)
-	defer cancel()
-	results, err := f.runStages(ctx, rs)
-	if e := core.AsError(err, "stage"); err != nil && rs.stageRuns == 1 && e.Kind == core.Conflict {
-		// An endpoint has lost a result that a later stage needs.
-		if err := f.stopError(rs, rs.retryState(), rs.plan.stagesTime()); err != nil {
-			return err
-		}
-		enoughTime := f.now().Add(rs.plan.expectedTime - rs.plan.firstEventTime).Before(rs.stagesDeadline)
-		f.events.RetryDecided(rs.req, rs.pool, "results of stages are gone", enoughTime, nil, e)
-		if enoughTime {
-			rs.stageRuns++
-			results, err = f.runStages(ctx, rs)
-		}
-	}
-	rs.inputs = results
-	rs.outcome.StageTime = f.now().Sub(rs.req.Arrived)
-	return err
-}
