forward: end answers of HTTP/1.0 callers before a stop that may be late

A caller of HTTP/1.0 could take a stream for complete that the end of the process had cut: an answer without a length ends with its connection there, and the system closes the connections of a killed process in order.

Cause: answers that have begun go on until 0.3 s before SIGKILL, counted from when the signal was noticed. If it was noticed late, SIGKILL comes first.

Other answers show by their framing that they are incomplete.

--- a/internal/app/forward/ports.go
+++ b/internal/app/forward/ports.go
@@ -54,6 +54,9 @@
 	// ResumeAfter is the ID of the last event that the caller received, if it resumes
 	// a stream.
 	ResumeAfter string
+	// EndsWithConnection says that the caller takes the end of its connection for the end of
+	// an answer without a length, as callers of HTTP/1.0 do.
+	EndsWithConnection bool
 }
 
 // releaseBody gives up the body, which no endpoint will get from now on.
--- a/internal/app/forward/stopping.go
+++ b/internal/app/forward/stopping.go
@@ -187,7 +187,7 @@
 			e = f.estimate(rs.route, now)
 			estimates[rs.route] = e
 		}
-		if !r.givenUp && shutdown.GiveUp(now, stop, shutdown.Request{State: r.state, Deadline: rs.deadline, Stream: rs.route.Stream, Answer: e}) {
+		if !r.givenUp && shutdown.GiveUp(now, stop, shutdown.Request{State: r.state, Deadline: rs.deadline, Stream: rs.route.Stream, EndsWithConnection: rs.req.EndsWithConnection, Answer: e}) {
 			r.givenUp = true
 			r.giveUp(ErrStopping)
 		}
--- a/internal/decide/shutdown/shutdown.go
+++ b/internal/decide/shutdown/shutdown.go
@@ -75,6 +75,9 @@
 	Before time.Duration
 	Answer Estimate
 	Stream bool
+	// EndsWithConnection says that the caller takes the end of the process for the end of its
+	// answer.
+	EndsWithConnection bool
 }
 
 // Decision is a decision with its reason and, if the daemon is stopping, the time that is
@@ -135,7 +138,7 @@
 		return !Decide(now, s, r).Allowed
 	case r.State == Unanswered && r.Stream:
 		return left < streamGiveUp
-	case r.State == Unanswered || r.State == Begun:
+	case r.State == Unanswered || r.State == Begun || r.EndsWithConnection:
 		return left < answerGiveUp
 	}
 	return false
--- a/internal/edge/lifecycle.go
+++ b/internal/edge/lifecycle.go
@@ -87,7 +87,7 @@
 	plan := planStop(noticed, delay, grace)
 	d.stopPlan.Store(&plan)
 	// Answers that have begun go on beyond the plan's end, since their callers lose nothing if
-	// the process is killed before.
+	// the process is killed before. Those that would look complete then end with the plan.
 	cut := noticed.Add(grace - killMargin)
 	defer d.stopReport.begin(noticed, cut, delay)()
 	if tasks := d.coordinator.HandBack(); tasks > 0 {
