stagework: end a waiting task at a silent coordinator

A stage task could run at two coordinators although the retry budget allowed no repetition.

Cause: a task at a coordinator that counts as lost goes on there. One that had not started is submitted to the next coordinator without a retry, and the first, once it answers again, started it as well.

After: the package's tests pass twice with -race.

--- a/internal/app/stagework/submission.go
+++ b/internal/app/stagework/submission.go
@@ -18,6 +18,7 @@
 // submission is a task that was submitted to one coordinator.
 type submission struct {
 	coordinator fleet.Member
+	task        *Task
 	cancel      context.CancelFunc
 	// lost is closed when the coordinator counts as lost; nil for this daemon.
 	lost <-chan struct{}
@@ -33,7 +34,7 @@
 	// ended receives each submission that has ended.
 	ended chan *submission
 	// pending holds the submissions that have not ended. All but the last are at
-	// coordinators that count as lost and may still have the results.
+	// coordinators that count as lost and may still have the results if they have started.
 	pending map[*submission]bool
 }
 
@@ -101,8 +102,8 @@
 func (r *taskRun) submit(ctx context.Context, m fleet.Member, group int) *submission {
 	c := r.client
 	ctx, cancel := context.WithCancel(ctx)
-	s := &submission{coordinator: m, cancel: cancel}
 	t, unwatch := r.task.copy(), func() {}
+	s := &submission{coordinator: m, task: t, cancel: cancel}
 	submit := func() ([]Result, error) { return c.local.Submit(ctx, group, t) }
 	if m.ID != c.self.ID {
 		s.lost, unwatch = c.fleet.Watch(m.Address)
@@ -134,6 +135,10 @@
 				return s, s.err
 			}
 		case <-s.lost:
+			if !s.task.Started() {
+				// The next submission takes no retry for a task that has not started.
+				s.cancel()
+			}
 			return s, &core.Error{Kind: core.Unavailable, Step: "stage", Peer: string(s.coordinator.ID), Ran: core.RanUnknown, Detail: LostCoordinator, Err: errPeerLost}
 		}
 	}
