daemon: answer the requests that outlast the stop

At drain_timeout_ms the process ended with its requests in progress. Their connections closed in order: whole answers got no byte (EOF), a stream broke off without the error event, and a call that may run at most once got no word on whether it ran, with its record left as sent.

Cause: nothing cancelled the requests; stop returned and the process ended.

As in internal/edge, stop now cancels the contexts of the callers' requests with a cause, core.ErrStopping, and waits up to 0.5 s for the answers. Calls that go on when their caller leaves, those of non-repeatable operations, end with that cause too, and their outcome is recorded as unknown. The log has requests_cut, and requests_abandoned if some still had no answer.

A call whose caller has left before the stop is not cancelled: its record stays as sent until the operation's timeout, as before. A stream to a caller that reads nothing may outlast the 0.5 s; it ends without its end mark.

--- a/internal/app/gateway/service.go
+++ b/internal/app/gateway/service.go
@@ -118,7 +118,8 @@
 	// call continues if the caller disconnects: the deadline bounds it, and its
 	// outcome is recorded for the caller's next request.
 	t.Header = map[string]string{"Idempotency-Key": string(gr.account) + "/" + r.IdempotencyKey}
-	ctx = context.WithoutCancel(ctx)
+	ctx, detach := core.WithoutCaller(ctx)
+	defer detach()
 	onceReq := OnceRequest{Account: gr.account, Service: r.Service, Operation: r.Operation, Key: r.IdempotencyKey, Body: r.Body, FirstAttempt: r.FirstAttempt, Timeout: timeout}
 	send := func(ctx context.Context, beforeSend func(context.Context, core.Endpoint) error) (core.Result, error) {
 		t.BeforeSend = beforeSend
--- a/internal/app/once/once.go
+++ b/internal/app/once/once.go
@@ -119,7 +119,8 @@
 
 // Run implements gateway.AtMostOnce. Once the record is claimed, cancellation
 // of ctx no longer ends the call, so that its outcome is recorded; the deadline
-// of ctx and r.Timeout still apply.
+// of ctx and r.Timeout still apply. At the end of the daemon, core.ErrStopping
+// ends the call, and its outcome is recorded as unknown.
 func (o *Once) Run(ctx context.Context, r gateway.OnceRequest, send func(context.Context, func(context.Context, core.Endpoint) error) (core.Result, error)) (core.Result, bool, error) {
 	ctx, cancel := context.WithTimeout(ctx, r.Timeout)
 	defer cancel()
@@ -139,7 +140,9 @@
 		return x.answerFromRecord(ctx, existing)
 	}
 	deadline, _ := ctx.Deadline()
-	sendCtx, cancelSend := context.WithDeadline(context.WithoutCancel(ctx), deadline)
+	detached, detach := core.WithoutCaller(ctx)
+	defer detach()
+	sendCtx, cancelSend := context.WithDeadline(detached, deadline)
 	defer cancelSend()
 	res, err := send(sendCtx, x.beforeSend)
 	return x.finish(ctx, res, err)
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -40,6 +40,9 @@
 	readBodyTimeout       = 10 * time.Second
 	maxHeaderBytes        = 32 << 10
 	maxRequestsInProgress = 4096
+	// abortTime is how long a stopping daemon waits at its end for the answers to
+	// requests that it has aborted.
+	abortTime = 500 * time.Millisecond
 )
 
 // Daemon holds the components of a daemon.
@@ -58,10 +61,12 @@
 	commands *commands.Loop
 	peers    peers
 
-	callers   *graceful.Server
-	operators *http.Server
-	draining  atomic.Bool
-	inFlight  atomic.Int64
+	callers *graceful.Server
+	// abortRequests cancels the contexts of callers' requests.
+	abortRequests context.CancelCauseFunc
+	operators     *http.Server
+	draining      atomic.Bool
+	inFlight      atomic.Int64
 }
 
 // New assembles a daemon. Nothing runs before Run is called.
@@ -106,6 +111,9 @@
 	// A caller that takes longer than this to send the body gets an error. There is no
 	// timeout for responses, because streams may be long.
 	callers.ReadTimeout = readBodyTimeout
+	requestsCtx, abortRequests := context.WithCancelCause(context.Background())
+	d.abortRequests = abortRequests
+	callers.BaseContext = func(net.Listener) context.Context { return requestsCtx }
 	d.callers = graceful.New(callers)
 	d.operators = newHTTPServer(d.operatorMux())
 	return d, nil
@@ -228,6 +236,17 @@
 	}
 }
 
+// abort ends the requests in progress. Their callers get an error: the end of the process
+// would close their connections without an answer.
+func (d *Daemon) abort() {
+	d.abortRequests(core.ErrStopping)
+	ctx, cancel := context.WithTimeout(context.Background(), abortTime)
+	defer cancel()
+	if err := d.callers.Finish(ctx); err != nil {
+		d.log.Warn().Int64("requests_in_progress", d.inFlight.Load()).Err(err).Msg("requests_abandoned")
+	}
+}
+
 // stop shuts down gracefully, as described at Run.
 func (d *Daemon) stop() error {
 	d.draining.Store(true)
@@ -237,6 +256,10 @@
 	ctx, cancel := context.WithTimeout(context.Background(), ms(d.settings.DrainTimeoutMs))
 	defer cancel()
 	err := d.callers.Finish(ctx)
+	if err != nil {
+		d.log.Warn().Int64("requests_in_progress", d.inFlight.Load()).Msg("requests_cut")
+		d.abort()
+	}
 	if closeErr := d.once.Close(ctx); err == nil {
 		err = closeErr
 	}
--- a/internal/daemon/peers_test.go
+++ b/internal/daemon/peers_test.go
@@ -21,15 +21,18 @@
 // the test ends.
 func startDaemons(t *testing.T, n int) []*Daemon {
 	t.Helper()
-	return startDaemonsWith(t, n, httptest.NewServer, map[string]any{"plain_text": true})
+	return startDaemonsWith(t, n, httptest.NewServer, map[string]any{"plain_text": true}, standin.NewTable())
 }
 
-// startDaemonsWith is startDaemons with servers of the platform created by serve and
-// with the given TLS settings.
-func startDaemonsWith(t *testing.T, n int, serve func(http.Handler) *httptest.Server, tlsSettings map[string]any) []*Daemon {
+// startDaemonsWith is startDaemons with servers of the platform created by serve, and with
+// the given TLS settings, table and endpoints.
+func startDaemonsWith(t *testing.T, n int, serve func(http.Handler) *httptest.Server, tlsSettings map[string]any, tableService *standin.Table, endpoints ...core.Instance) []*Daemon {
 	t.Helper()
 	list := standin.NewInstanceList(0)
-	table, objects, listServer := serve(standin.NewTable()), serve(standin.NewObjects()), serve(list)
+	for _, e := range endpoints {
+		list.Set(e)
+	}
+	table, objects, listServer := serve(tableService), serve(standin.NewObjects()), serve(list)
 	ctx, cancel := context.WithCancel(context.Background())
 	ended := make(chan error, n)
 	t.Cleanup(func() {
--- /dev/null
+++ b/internal/daemon/stop_test.go
@@ -0,0 +1,123 @@
+package daemon
+
+import (
+	"crypto/sha256"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"eelgrassgrade/internal/adapter/engine"
+	"eelgrassgrade/internal/core"
+	"eelgrassgrade/internal/standin"
+)
+
+// startServing runs n daemons with a configuration and one endpoint of each pool. endpoint
+// serves the engine and the service "desk". It returns the table, whose faults can be set.
+func startServing(t *testing.T, n int, endpoint http.HandlerFunc) ([]*Daemon, *standin.Table) {
+	t.Helper()
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/v1/embeddings" || r.URL.Path == "/v1/retrieve" {
+			w.Header().Set(engine.CallHeader, r.Header.Get(engine.CallHeader))
+			fmt.Fprint(w, `{"data": [{"embedding": [1]}], "documents": [{"text": "x"}]}`)
+			return
+		}
+		endpoint(w, r)
+	}))
+	t.Cleanup(server.Close)
+	var list []core.Instance
+	for _, pool := range []core.PoolID{"encoder", "retriever", "engine", "desk"} {
+		list = append(list, core.Instance{ID: core.InstanceID(pool), Role: core.RoleEndpoint, Pool: pool, State: core.Live, DataCenter: "dc0", Address: server.Listener.Addr().String()})
+	}
+	table := standin.NewTable()
+	daemons := startDaemonsWith(t, n, httptest.NewServer, map[string]any{"plain_text": true}, table, list...)
+	eventually(t, "fresh views", func() bool {
+		for _, d := range daemons {
+			if !d.control.ViewIsFresh(time.Now()) || d.control.Daemons() != n || len(d.control.View().Endpoints["engine"]) == 0 {
+				return false
+			}
+		}
+		return true
+	})
+	src := fmt.Sprintf(`{"accounts": {"a": {"plan": "p", "keys_sha256": ["%x"]}}, "plans": {"p": {"pipelines": ["*"], "services": ["*"]}}, "ranks": {},
+		"pools": {"encoder": {"kind": "encoder"}, "retriever": {"kind": "retriever"}, "engine": {"kind": "engine", "slots": 4}, "desk": {"kind": "service", "slots": 4}},
+		"pipelines": {"text": {"stages": [{"name": "e", "pool": "encoder"}, {"name": "r", "pool": "retriever"}, {"name": "g", "pool": "engine", "max_tokens": 9}]}},
+		"services": {"desk": {"pool": "desk", "operations": {"lookup": {"repeatable": true}, "deposit": {}}}}}`, sha256.Sum256([]byte("key")))
+	if _, err := daemons[0].config.Apply(t.Context(), 0, "test", []byte(src)); err != nil {
+		t.Fatal(err)
+	}
+	for _, d := range daemons {
+		eventually(t, "ready", d.ready)
+	}
+	return daemons, table
+}
+
+// post sends a request and returns its status and body, or the error.
+func post(d *Daemon, path, body string) string {
+	r, err := http.NewRequest("POST", "http://"+d.settings.Listen.Callers+path, strings.NewReader(body))
+	if err != nil {
+		return err.Error()
+	}
+	r.Header.Set("Authorization", "Bearer key")
+	r.Header.Set("Idempotency-Key", "k")
+	resp, err := http.DefaultTransport.RoundTrip(r)
+	if err != nil {
+		return err.Error()
+	}
+	defer resp.Body.Close()
+	b, err := io.ReadAll(resp.Body)
+	return fmt.Sprint(resp.StatusCode, " ", string(b), err)
+}
+
+// Guards against requests that get no answer, or a stream without an error, because they
+// outlast the stop.
+func TestRequestsThatOutlastTheStopAreAnswered(t *testing.T) {
+	daemons, _ := startServing(t, 1, func(w http.ResponseWriter, r *http.Request) {
+		// The context ends with the connection only after the body is read.
+		body, _ := io.ReadAll(r.Body)
+		if strings.Contains(string(body), `"stream":true`) {
+			w.Header().Set(engine.CallHeader, r.Header.Get(engine.CallHeader))
+			w.Header().Set("Content-Type", "text/event-stream")
+			fmt.Fprint(w, "data: {\"index\":0,\"choices\":[{\"text\":\"x\"}]}\n\n")
+			w.(http.Flusher).Flush()
+		}
+		<-r.Context().Done()
+	})
+	d := daemons[0]
+	want := map[string]string{
+		"/v1/pipelines/text/requests {\"input\":\"x\"}":                 `502 {"type"`,
+		"/v1/pipelines/text/requests {\"input\":\"y\",\"stream\":true}": "event: error",
+		"/v1/services/desk/lookup {}":                                   `502 {"type"`,
+		"/v1/services/desk/deposit {}":                                  `"ran":"unknown"`,
+	}
+	got := make(chan string, len(want))
+	for request := range want {
+		path, body, _ := strings.Cut(request, " ")
+		go func() { got <- request + ": " + post(d, path, body) }()
+	}
+	eventually(t, "requests in progress", func() bool { return d.inFlight.Load() == int64(len(want)) })
+	d.settings.DrainTimeoutMs = 200
+	stopped := make(chan error, 1)
+	go func() {
+		err := d.stop()
+		d.callers.Close() // as the end of the process does
+		stopped <- err
+	}()
+	for range want {
+		select {
+		case answer := <-got:
+			request, rest, _ := strings.Cut(answer, ": ")
+			if !strings.Contains(rest, want[request]) {
+				t.Errorf("%s, want %s", answer, want[request])
+			}
+		case <-time.After(5 * time.Second):
+			t.Fatal("a request is not answered")
+		}
+	}
+	if err := <-stopped; err == nil {
+		t.Error("the stop does not report that requests were left")
+	}
+}
--- a/internal/daemon/tls_test.go
+++ b/internal/daemon/tls_test.go
@@ -11,6 +11,7 @@
 
 	"eelgrassgrade/internal/adapter/tlsfiles"
 	"eelgrassgrade/internal/localrun"
+	"eelgrassgrade/internal/standin"
 )
 
 // Guards against listeners or connections that fall back to plain text, against
@@ -32,7 +33,7 @@
 		return s
 	}
 	daemons := startDaemonsWith(t, 2, serve, map[string]any{"cert_file": files.Cert, "key_file": files.Key,
-		"peer_ca_file": files.CA, "platform_ca_file": files.CA, "endpoint_ca_file": files.CA})
+		"peer_ca_file": files.CA, "platform_ca_file": files.CA, "endpoint_ca_file": files.CA}, standin.NewTable())
 	for _, d := range daemons {
 		eventually(t, "fresh view with both daemons", func() bool { return d.control.Daemons() == 2 && d.control.ViewIsFresh(time.Now()) })
 		eventually(t, "status of both daemons", func() bool {
