daemon: leave time for outcomes when requests outlast the stop

The outcomes of non-repeatable calls that could not be recorded at once are retried in the background, and a stop waits for them. If a request took all of drain_timeout_ms, that wait ended at once: the outcome was lost though the table service answered, and a caller that repeated the call with its key got 409 "in progress" until the operation's timeout, and then no answer.

Cause: once.Close had the context of the wait for requests, which had ended. Its error was dropped too.

Outcomes now have at least 1 s. Those that are lost are logged as outcomes_lost.

Looked at for the same fault: calls between daemons (adapter/peer) carry state only, are answered from memory, and are repeated with the next exchange.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -3,6 +3,7 @@
 package daemon
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"net"
@@ -43,6 +44,9 @@
 	// abortTime is how long a stopping daemon waits at its end for the answers to
 	// requests that it has aborted.
 	abortTime = 500 * time.Millisecond
+	// outcomeTime is the least time that a stopping daemon leaves for recording the
+	// outcomes of calls, also if the requests have used up the time of the stop.
+	outcomeTime = time.Second
 )
 
 // Daemon holds the components of a daemon.
@@ -253,15 +257,19 @@
 	d.callers.AnnounceStop()
 	d.log.Info().Int64("requests_in_progress", d.inFlight.Load()).Msg("draining")
 	time.Sleep(ms(*d.settings.DrainWaitMs))
-	ctx, cancel := context.WithTimeout(context.Background(), ms(d.settings.DrainTimeoutMs))
+	deadline := time.Now().Add(ms(d.settings.DrainTimeoutMs))
+	ctx, cancel := context.WithDeadline(context.Background(), deadline)
 	defer cancel()
 	err := d.callers.Finish(ctx)
 	if err != nil {
 		d.log.Warn().Int64("requests_in_progress", d.inFlight.Load()).Msg("requests_cut")
 		d.abort()
 	}
-	if closeErr := d.once.Close(ctx); err == nil {
-		err = closeErr
+	ctx, cancel = context.WithTimeout(context.Background(), max(time.Until(deadline), outcomeTime))
+	defer cancel()
+	if closeErr := d.once.Close(ctx); closeErr != nil {
+		d.log.Warn().Err(closeErr).Msg("outcomes_lost")
+		err = cmp.Or(err, closeErr)
 	}
 	d.operators.Shutdown(ctx)
 	d.announceStop()
--- a/internal/daemon/stop_test.go
+++ b/internal/daemon/stop_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"crypto/sha256"
+	"encoding/json"
 	"fmt"
 	"io"
 	"net/http"
@@ -121,3 +122,41 @@
 		t.Error("the stop does not report that requests were left")
 	}
 }
+
+// Guards against outcomes of calls that are lost at the end of a stop because requests took
+// all of its time: a caller that repeats the call must get the recorded answer.
+func TestOutcomesAreRecordedAfterRequestsThatOutlastTheStop(t *testing.T) {
+	var table *standin.Table
+	set := func(outage bool) {
+		body, err := json.Marshal(standin.Faults{Outage: outage})
+		if err != nil {
+			t.Error(err)
+		}
+		table.ControlHandler().ServeHTTP(httptest.NewRecorder(), httptest.NewRequest("POST", "/faults", strings.NewReader(string(body))))
+	}
+	daemons, table := startServing(t, 2, func(w http.ResponseWriter, r *http.Request) {
+		if _, err := io.Copy(io.Discard, r.Body); err != nil || r.URL.Path != "/deposit" {
+			<-r.Context().Done()
+			return
+		}
+		set(true)
+		w.Header().Set(engine.CallHeader, r.Header.Get(engine.CallHeader))
+		fmt.Fprint(w, "{}")
+	})
+	d := daemons[0]
+	if a := post(d, "/v1/services/desk/deposit", "{}"); !strings.HasPrefix(a, "200") {
+		t.Fatal(a)
+	}
+	go post(d, "/v1/services/desk/lookup", "{}")
+	eventually(t, "a request in progress", func() bool { return d.inFlight.Load() == 1 })
+	// The retries of the outcome are now more than a second apart.
+	time.Sleep(2 * time.Second)
+	d.settings.DrainTimeoutMs = 1
+	time.AfterFunc(50*time.Millisecond, func() { set(false) })
+	if err := d.stop(); err == nil {
+		t.Error("the stop does not report that requests were left")
+	}
+	if a := post(daemons[1], "/v1/services/desk/deposit", "{}"); !strings.HasPrefix(a, "200") {
+		t.Errorf("the call is repeated: %s", a)
+	}
+}
