daemon: answer operators' requests that are read during the stop

A request of an operator or a readiness check on a connection that was open at the stop could get no answer: http.Server.Shutdown drops each request that it reads after it began. The error of the shutdown was ignored as well.

The operators' server now stops as the callers' server does, with package graceful. Requests that outlast the stop are logged as operators_cut.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -68,7 +68,7 @@
 	callers *graceful.Server
 	// abortRequests cancels the contexts of callers' requests.
 	abortRequests context.CancelCauseFunc
-	operators     *http.Server
+	operators     *graceful.Server
 	draining      atomic.Bool
 	inFlight      atomic.Int64
 }
@@ -119,7 +119,7 @@
 	d.abortRequests = abortRequests
 	callers.BaseContext = func(net.Listener) context.Context { return requestsCtx }
 	d.callers = graceful.New(callers)
-	d.operators = newHTTPServer(d.operatorMux())
+	d.operators = graceful.New(newHTTPServer(d.operatorMux()))
 	return d, nil
 }
 
@@ -210,20 +210,16 @@
 	}
 	defer d.stopPeers()
 	for _, l := range []struct {
-		addr  string
-		wrap  func(net.Listener) net.Listener
-		serve func(net.Listener) error
-	}{
-		{d.settings.Listen.Callers, d.callers.Listener, d.callers.Serve},
-		{d.settings.Listen.Operators, func(l net.Listener) net.Listener { return l }, d.operators.Serve},
-	} {
+		addr   string
+		server *graceful.Server
+	}{{d.settings.Listen.Callers, d.callers}, {d.settings.Listen.Operators, d.operators}} {
 		ln, err := d.tls.listen(l.addr)
 		if err != nil {
 			return errors.Annotatef(err, "listen on %s", l.addr)
 		}
-		ln = l.wrap(ln)
+		ln = l.server.Listener(ln)
 		go func() {
-			if err := l.serve(ln); !errors.Is(err, http.ErrServerClosed) {
+			if err := l.server.Serve(ln); !errors.Is(err, http.ErrServerClosed) {
 				serveErrs <- err
 			}
 		}()
@@ -271,7 +267,9 @@
 		d.log.Warn().Err(closeErr).Msg("outcomes_lost")
 		err = cmp.Or(err, closeErr)
 	}
-	d.operators.Shutdown(ctx)
+	if closeErr := d.operators.Finish(ctx); closeErr != nil {
+		d.log.Warn().Err(closeErr).Msg("operators_cut")
+	}
 	d.announceStop()
 	d.log.Info().Int64("requests_in_progress", d.inFlight.Load()).Msg("stopped")
 	return err
--- a/internal/daemon/stop_test.go
+++ b/internal/daemon/stop_test.go
@@ -1,10 +1,12 @@
 package daemon
 
 import (
+	"bufio"
 	"crypto/sha256"
 	"encoding/json"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -160,3 +162,37 @@
 		t.Errorf("the call is repeated: %s", a)
 	}
 }
+
+// Guards against operators' requests that are dropped because they are read after the
+// shutdown began.
+func TestOperatorsRequestsDuringTheStopAreAnswered(t *testing.T) {
+	d := startDaemons(t, 1)[0]
+	eventually(t, "operators' server", func() bool {
+		resp, err := http.Get("http://" + d.settings.Listen.Operators + "/healthz")
+		if err == nil {
+			resp.Body.Close()
+		}
+		return err == nil
+	})
+	conn, err := net.Dial("tcp", d.settings.Listen.Operators)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer conn.Close()
+	stopped := make(chan error, 1)
+	go func() { stopped <- d.stop() }()
+	eventually(t, "operators' listener closed", func() bool {
+		c, err := net.Dial("tcp", d.settings.Listen.Operators)
+		if err == nil {
+			c.Close()
+		}
+		return err != nil
+	})
+	fmt.Fprint(conn, "GET /healthz HTTP/1.1\r\nHost: d\r\n\r\n")
+	if _, err := http.ReadResponse(bufio.NewReader(conn), nil); err != nil {
+		t.Errorf("an operator's request during the stop: %v", err)
+	}
+	if err := <-stopped; err != nil {
+		t.Error(err)
+	}
+}
