commands: let commands end before the lease is released

An engine that was loading a model at the end of a daemon's stop had its command cut: an engine that gives a command up with its connection stayed at the old version until the next holder of the lease sent the command again, at least 2 s later where fencing tokens are not checked.

Cause: Run says that it waits for the commands in progress, but their contexts were made from the context that ends the loop.

A command that was sent now ends with its own bound of 2 s only. No new one is sent after the shutdown began.

TestShutdownWaitsForCommands failed before (no command carried out), and passes 3 times with -race.

--- a/internal/app/commands/commands.go
+++ b/internal/app/commands/commands.go
@@ -233,10 +233,11 @@
 	// The lease is checked again, since reading the state may have taken until
 	// after the end of its term.
 	token, ok := p.mayCommand(c.ChecksFencing)
-	if !ok {
+	if !ok || ctx.Err() != nil {
 		return
 	}
-	cmdCtx, cancel := context.WithTimeout(ctx, lease.MaxCommandTime)
+	// The lease is released only when the command has ended.
+	cmdCtx, cancel := context.WithTimeout(context.WithoutCancel(ctx), lease.MaxCommandTime)
 	defer cancel()
 	err = p.loop.Engines.Load(cmdCtx, e, cmd, token)
 	p.loop.Metrics.GetOrCreateCounter("eelgrass_engine_commands_total").Inc()
--- a/internal/app/commands/commands_test.go
+++ b/internal/app/commands/commands_test.go
@@ -28,8 +28,11 @@
 	loseWriteResponses bool
 	// checksFencing makes the engines refuse commands with old tokens.
 	checksFencing bool
-	engines       map[core.InstanceID]*EngineState
-	highestToken  uint64
+	// loadTime is how long an engine takes for a command, which it gives up if its
+	// connection is closed.
+	loadTime     time.Duration
+	engines      map[core.InstanceID]*EngineState
+	highestToken uint64
 	// commands lists the commands carried out: daemon, token and version.
 	commands []string
 	// firstCommandAt is the time of the first command with each token.
@@ -125,8 +128,15 @@
 	return *d.engines[e.ID], nil
 }
 
-func (d *daemon) Load(_ context.Context, e core.Endpoint, c Command, token uint64) error {
+func (d *daemon) Load(ctx context.Context, e core.Endpoint, c Command, token uint64) error {
 	d.pauseIfDue("load")
+	if d.loadTime > 0 {
+		select {
+		case <-time.After(d.loadTime):
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if d.checksFencing && token < d.highestToken {
@@ -237,3 +247,17 @@
 		}
 	})
 }
+
+// Guards against commands in progress that are cut by a shutdown.
+func TestShutdownWaitsForCommands(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		cluster := newFakeCluster(true)
+		cluster.loadTime = lease.MaxCommandTime / 2
+		d := cluster.start("a", "b", "")
+		time.Sleep(lease.RenewInterval + cluster.loadTime/2)
+		d.stop()
+		if !cluster.loaded("v1") {
+			t.Errorf("commands %v, want one for each engine", cluster.commands)
+		}
+	})
+}
