--- a/internal/app/forward/attempt.go
+++ b/internal/app/forward/attempt.go
@@ -75,7 +75,9 @@
 	for try := 1; try <= maxTries; try++ {
 		rs.enterAttempt()
 		a := s.takeNext()
-		if a == nil {
+		if a != nil {
+			f.stopStates.sent(rs, a.startTime)
+		} else {
 			var err error
 			if a, err = f.nextAttempt(ctx, s, try); err != nil && !rs.mayHaveRun {
 				lastErr = err
--- a/internal/app/stagework/submission.go
+++ b/internal/app/stagework/submission.go
@@ -15,6 +15,10 @@
 	maxRefusals         = 8
 )
 
+// silentTime bounds the wait for the answer of a coordinator that is silent, once no other one
+// takes the task: a request that cannot be served is refused without much delay.
+const silentTime = time.Second
+
 // submission is a task that was submitted to one coordinator.
 type submission struct {
 	coordinator fleet.Member
@@ -145,13 +149,19 @@
 }
 
 // awaitPending returns the first results of the submissions that have not ended, or the error
-// if none has results.
+// if none has results within silentTime.
 func (r *taskRun) awaitPending(coordinator core.InstanceID, err error) (core.InstanceID, []Result, error) {
+	t := time.NewTimer(silentTime)
+	defer t.Stop()
 	for len(r.pending) > 0 {
-		s := <-r.ended
-		delete(r.pending, s)
-		if s.err == nil {
-			return s.coordinator.ID, s.results, nil
+		select {
+		case s := <-r.ended:
+			delete(r.pending, s)
+			if s.err == nil {
+				return s.coordinator.ID, s.results, nil
+			}
+		case <-t.C:
+			return coordinator, nil, err
 		}
 	}
 	return coordinator, nil, err
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -3,6 +3,7 @@
 package daemon
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"net"
@@ -40,6 +41,12 @@
 	readBodyTimeout       = 10 * time.Second
 	maxHeaderBytes        = 32 << 10
 	maxRequestsInProgress = 4096
+	// abortTime is how long a stopping daemon waits at its end for the answers to
+	// requests that it has aborted.
+	abortTime = 500 * time.Millisecond
+	// outcomeTime is the least time that a stopping daemon leaves for recording the
+	// outcomes of calls, also if the requests have used up the time of the stop.
+	outcomeTime = time.Second
 )
 
 // Daemon holds the components of a daemon.
@@ -58,10 +65,12 @@
 	commands *commands.Loop
 	peers    peers
 
-	callers   *graceful.Server
-	operators *http.Server
-	draining  atomic.Bool
-	inFlight  atomic.Int64
+	callers *graceful.Server
+	// abortRequests cancels the contexts of callers' requests.
+	abortRequests context.CancelCauseFunc
+	operators     *graceful.Server
+	draining      atomic.Bool
+	inFlight      atomic.Int64
 }
 
 // New assembles a daemon. Nothing runs before Run is called.
@@ -106,8 +115,11 @@
 	// A caller that takes longer than this to send the body gets an error. There is no
 	// timeout for responses, because streams may be long.
 	callers.ReadTimeout = readBodyTimeout
+	requestsCtx, abortRequests := context.WithCancelCause(context.Background())
+	d.abortRequests = abortRequests
+	callers.BaseContext = func(net.Listener) context.Context { return requestsCtx }
 	d.callers = graceful.New(callers)
-	d.operators = newHTTPServer(d.operatorMux())
+	d.operators = graceful.New(newHTTPServer(d.operatorMux()))
 	return d, nil
 }
 
@@ -198,20 +210,16 @@
 	}
 	defer d.stopPeers()
 	for _, l := range []struct {
-		addr  string
-		wrap  func(net.Listener) net.Listener
-		serve func(net.Listener) error
-	}{
-		{d.settings.Listen.Callers, d.callers.Listener, d.callers.Serve},
-		{d.settings.Listen.Operators, func(l net.Listener) net.Listener { return l }, d.operators.Serve},
-	} {
+		addr   string
+		server *graceful.Server
+	}{{d.settings.Listen.Callers, d.callers}, {d.settings.Listen.Operators, d.operators}} {
 		ln, err := d.tls.listen(l.addr)
 		if err != nil {
 			return errors.Annotatef(err, "listen on %s", l.addr)
 		}
-		ln = l.wrap(ln)
+		ln = l.server.Listener(ln)
 		go func() {
-			if err := l.serve(ln); !errors.Is(err, http.ErrServerClosed) {
+			if err := l.server.Serve(ln); !errors.Is(err, http.ErrServerClosed) {
 				serveErrs <- err
 			}
 		}()
@@ -228,19 +236,40 @@
 	}
 }
 
+// abort ends the requests in progress. Their callers get an error: the end of the process
+// would close their connections without an answer.
+func (d *Daemon) abort() {
+	d.abortRequests(core.ErrStopping)
+	ctx, cancel := context.WithTimeout(context.Background(), abortTime)
+	defer cancel()
+	if err := d.callers.Finish(ctx); err != nil {
+		d.log.Warn().Int64("requests_in_progress", d.inFlight.Load()).Err(err).Msg("requests_abandoned")
+	}
+}
+
 // stop shuts down gracefully, as described at Run.
 func (d *Daemon) stop() error {
 	d.draining.Store(true)
 	d.callers.AnnounceStop()
 	d.log.Info().Int64("requests_in_progress", d.inFlight.Load()).Msg("draining")
 	time.Sleep(ms(*d.settings.DrainWaitMs))
-	ctx, cancel := context.WithTimeout(context.Background(), ms(d.settings.DrainTimeoutMs))
+	deadline := time.Now().Add(ms(d.settings.DrainTimeoutMs))
+	ctx, cancel := context.WithDeadline(context.Background(), deadline)
 	defer cancel()
 	err := d.callers.Finish(ctx)
-	if closeErr := d.once.Close(ctx); err == nil {
-		err = closeErr
+	if err != nil {
+		d.log.Warn().Int64("requests_in_progress", d.inFlight.Load()).Msg("requests_cut")
+		d.abort()
+	}
+	ctx, cancel = context.WithTimeout(context.Background(), max(time.Until(deadline), outcomeTime))
+	defer cancel()
+	if closeErr := d.once.Close(ctx); closeErr != nil {
+		d.log.Warn().Err(closeErr).Msg("outcomes_lost")
+		err = cmp.Or(err, closeErr)
+	}
+	if closeErr := d.operators.Finish(ctx); closeErr != nil {
+		d.log.Warn().Err(closeErr).Msg("operators_cut")
 	}
-	d.operators.Shutdown(ctx)
 	d.announceStop()
 	d.log.Info().Int64("requests_in_progress", d.inFlight.Load()).Msg("stopped")
 	return err
--- a/internal/edge/delay.go
+++ b/internal/edge/delay.go
@@ -1,6 +1,7 @@
 package edge
 
 import (
+	"slices"
 	"sync"
 	"time"
 
@@ -10,6 +11,8 @@
 const (
 	// delayWindow is how long a delay of the process counts as recent.
 	delayWindow = 5 * time.Second
+	// usualCount is the number of recent delays from which on they are usual.
+	usualCount = 3
 	// maxAgeShare bounds the age of a signal, as a part of the time for a stop, since a longer
 	// delay probably began before the signal. maxEarlyShare bounds by how much a stop ends
 	// earlier.
@@ -65,8 +68,8 @@
 type schedulingDelay struct {
 	// present is for how long the process may not have run until now.
 	present time.Duration
-	// usual is how late it has run more than once lately. A single longer delay was a pause,
-	// which is over.
+	// usual is how late it has run at least usualCount times lately. Fewer delays were pauses,
+	// which are over.
 	usual time.Duration
 }
 
@@ -74,17 +77,18 @@
 func (m *delayMonitor) delay(now time.Time) schedulingDelay {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	var longest, second time.Duration
+	var recent []time.Duration
 	for _, d := range m.delays {
-		switch {
-		case now.Sub(d.at) > delayWindow:
-		case d.delay > longest:
-			longest, second = d.delay, longest
-		default:
-			second = max(second, d.delay)
+		if now.Sub(d.at) <= delayWindow {
+			recent = append(recent, d.delay)
 		}
 	}
-	return schedulingDelay{present: now.Sub(m.last), usual: second}
+	delay := schedulingDelay{present: now.Sub(m.last)}
+	if len(recent) >= usualCount {
+		slices.Sort(recent)
+		delay.usual = recent[len(recent)-usualCount]
+	}
+	return delay
 }
 
 // planStop returns the stop whose signal was noticed at noticed. The platform kills the
