forward: keep a retry for the way back of a stream that leaves its engine

A stream was cut although the engine that it had left was sound: its next engine refused it 10 to 140 ms after the stream had left, and no retry was left.

Cause: an engine that has not answered within 0.2 s may still refuse.

Change: where the next engine has not answered in that time, a second retry is taken before the stream leaves, for the refusal. Without one the stream stays.

The grace after a pause at the end of a stop is gone: since begun answers go on until 0.3 s before SIGKILL, its condition never held.

--- a/internal/app/forward/attempt.go
+++ b/internal/app/forward/attempt.go
@@ -105,7 +105,7 @@
 		}
 		s.moves, s.stayReported = false, false
 		// A preparation means that the retry was taken before the stream broke off.
-		if ctx.Err() != nil || !moves && s.preparing == nil && !f.mayRetry(rs, failure, s.possibleRuns) {
+		if ctx.Err() != nil || !moves && s.preparing == nil && !s.takeSpareRetry(failure) && !f.mayRetry(rs, failure, s.possibleRuns) {
 			break
 		}
 		if prepared, err := s.useInputs(); err != nil {
--- a/internal/app/forward/prepare.go
+++ b/internal/app/forward/prepare.go
@@ -8,6 +8,7 @@
 
 	"eelgrassgrade/internal/core"
 	"eelgrassgrade/internal/decide/health"
+	"eelgrassgrade/internal/decide/repeats"
 )
 
 // preparation runs the stages of a stream once more. Its endpoint has released their results
@@ -155,20 +156,35 @@
 	}
 	next := f.newAttempt(ctx, s, candidates, rs.outcome.Attempts+s.refusals+1)
 	next.start()
-	goesOn := s.awaitNext(next)
-	switch {
+	switch goesOn := s.awaitNext(next); {
 	case goesOn:
-		next.cancel()
-		<-next.done
+		f.withdraw(s, next, "stalled, the endpoint went on while the next one was asked", nil)
 	case !next.answered():
+		// The next endpoint may still refuse, and the way back then takes another retry.
+		if budget, allowed := f.takeRetry(rs); !allowed {
+			f.withdraw(s, next, "stalled, no retry for the way back", budget)
+			return nil
+		}
+		s.spareRetry = true
 		return next
 	case next.err == nil && next.answer.Genuine && next.answer.Status == http.StatusOK && !rs.cannotContinue(next.answer):
 		return next
+	default:
+		f.recordRefusal(s, next)
 	}
-	f.recordRefusal(s, next, goesOn)
 	return nil
 }
 
+// withdraw ends the attempt at the next endpoint of a stream that stays.
+func (f *Forwarder) withdraw(s *streamRelay, next *attempt, reason string, budget *repeats.Decision) {
+	next.cancel()
+	<-next.done
+	s.refusals++
+	s.countRun(next)
+	next.end()
+	f.events.RetryDecided(s.state.req, s.state.pool, reason, false, budget, s.streamError("the endpoint sent no event within the stall timeout", nil))
+}
+
 // awaitNext waits for the answer of the next endpoint, for refusalTime at most. It returns
 // true as soon as the present endpoint sends an event or the end of the stream.
 func (s *streamRelay) awaitNext(next *attempt) bool {
@@ -208,26 +224,36 @@
 // triesSpent reports whether a stream may be sent to no further endpoint beside the present one.
 func (s *streamRelay) triesSpent() bool { return s.state.outcome.Attempts+s.refusals >= maxTries }
 
-// recordRefusal records that an endpoint has not taken over a stream, or that the stream stays
-// since its present endpoint goes on.
-func (f *Forwarder) recordRefusal(s *streamRelay, next *attempt, goesOn bool) {
+// recordRefusal records that an endpoint has not taken over a stream.
+func (f *Forwarder) recordRefusal(s *streamRelay, next *attempt) {
 	rs, id := s.state, next.candidate.Endpoint.ID
 	s.refusals++
 	err := &core.Error{Kind: core.Unavailable, Step: "endpoint", Peer: string(id), Ran: core.RanNot, Detail: "the endpoint did not take over the stream"}
 	if next.err != nil {
 		err = core.AsError(next.err, "send")
 	}
-	if next.err == nil && !next.answer.NotStarted || err.Ran != core.RanNot {
-		rs.mayHaveRun = true
-		s.possibleRuns++
-	}
+	s.countRun(next)
 	next.end()
-	reason := "stalled, the endpoint went on while the next one was asked"
-	if !goesOn {
-		reason = "stalled, the next endpoint did not take it"
-		f.tracker.observe(rs.pool, id, health.Sample{}, err.Step == "connect")
+	f.tracker.observe(rs.pool, id, health.Sample{}, err.Step == "connect")
+	f.events.RetryDecided(rs.req, rs.pool, "stalled, the next endpoint did not take it", false, nil, err)
+}
+
+// countRun counts an endpoint that has answered an attempt, or whose call was cancelled, among
+// those that may have run the request.
+func (s *streamRelay) countRun(a *attempt) {
+	if a.err == nil && a.answer.NotStarted || a.err != nil && core.AsError(a.err, "send").Ran == core.RanNot {
+		return
 	}
-	f.events.RetryDecided(rs.req, rs.pool, reason, false, nil, err)
+	s.state.mayHaveRun = true
+	s.possibleRuns++
+}
+
+// takeSpareRetry reports whether a stream whose next endpoint has refused it late may be sent
+// once more with the retry that was taken for that.
+func (s *streamRelay) takeSpareRetry(failure *core.Error) bool {
+	spare := s.spareRetry && failure.Ran == core.RanNot
+	s.spareRetry = false
+	return spare
 }
 
 // takeNext returns the attempt with which the stream has left its endpoint, or nil.
--- a/internal/app/forward/stream.go
+++ b/internal/app/forward/stream.go
@@ -68,6 +68,9 @@
 	// next endpoint was asked.
 	chunks  <-chan chunk
 	arrived []chunk
+	// spareRetry is set if a retry was taken for the case that the next endpoint refuses the
+	// stream after it has left the one before.
+	spareRetry bool
 	// refusals counts the endpoints that did not take the stream over.
 	refusals int
 	// left is the endpoint that the stream has left for its silence; empty if there is none
--- a/internal/edge/delay.go
+++ b/internal/edge/delay.go
@@ -18,10 +18,6 @@
 	// earlier.
 	maxAgeShare   = 0.5
 	maxEarlyShare = 0.6
-	// minPauseAtEnd is the time after the end of a stop from which on the process was paused
-	// there, and pauseGrace the time that it then has to read what has arrived meanwhile.
-	minPauseAtEnd = 100 * time.Millisecond
-	pauseGrace    = 300 * time.Millisecond
 	// signalHops is the number of goroutines that a signal goes through, each as late as a
 	// timer's: that of os/signal and the one that stops the daemon.
 	signalHops = 2
@@ -100,17 +96,3 @@
 	early := min(max(age+d.usual-lateSlack, 0), time.Duration(maxEarlyShare*float64(within)))
 	return shutdown.Stop{Began: noticed.Add(-age), End: noticed.Add(within - killMargin - early)}
 }
-
-// afterPause returns until when requests go on although their time has ended at end: the rest
-// of their answers may have arrived while the process was paused. It is the zero time if the
-// process was not paused, or if nothing is left until latest.
-func afterPause(now, end, latest time.Time) time.Time {
-	until := now.Add(pauseGrace)
-	if latest.Before(until) {
-		until = latest
-	}
-	if now.Sub(end) < minPauseAtEnd || !until.After(now) {
-		return time.Time{}
-	}
-	return until
-}
--- a/internal/edge/lifecycle.go
+++ b/internal/edge/lifecycle.go
@@ -103,7 +103,7 @@
 	}()
 	go d.forward.GiveUpWaiting(ctx)
 	linger(ctx, lingerTime, time.Now, time.Sleep)
-	if err := finishRequests(ctx, callers, cut, noticed.Add(grace-abortTime)); err != nil {
+	if err := callers.Finish(ctx); err != nil {
 		d.log.Warn().Int("in_progress", d.forward.Active()).Err(err).Msg("requests_cut")
 		d.abort(callers, abortRequests)
 	}
@@ -112,22 +112,6 @@
 	}
 }
 
-// finishRequests waits for the requests in progress until ctx ends, at end. If the process
-// was paused then, they go on for a moment, but not beyond latest.
-func finishRequests(ctx context.Context, callers *graceful.Server, end, latest time.Time) error {
-	err := callers.Finish(ctx)
-	if err == nil {
-		return nil
-	}
-	until := afterPause(time.Now(), end, latest)
-	if until.IsZero() {
-		return err
-	}
-	ctx, cancel := context.WithDeadline(context.Background(), until)
-	defer cancel()
-	return callers.Finish(ctx)
-}
-
 // abort ends the requests in progress. Their callers get an answer if none has begun.
 func (d *Daemon) abort(callers *graceful.Server, abortRequests context.CancelCauseFunc) {
 	d.stopReport.sockets.callers.cutting.Store(true)
