dispatch: forward no event of an attempt that a stream has left

A token could reach the caller twice: an event of the stalled endpoint that came in the moment in which the stream went to the next one was forwarded although the next attempt began behind the event before it.

Change: the decision to leave and the check before an event is forwarded are made under one lock. The test of operators' requests during a stop waits until its connection is accepted: the system resets those that are not.

Checked: go test -race ./internal/app/dispatch ./internal/daemon, twice.

--- a/internal/app/dispatch/handover.go
+++ b/internal/app/dispatch/handover.go
@@ -152,14 +152,14 @@
 		case <-next.failed:
 			return false
 		case <-next.done:
-			return next.failure == nil
+			return next.failure == nil && a.watch.leave()
 		case <-next.answered:
-			return a.watch.hasStalled()
+			return a.watch.leave()
 		case <-sent:
 			sent = nil
 			t.Reset(refusalTime)
 		case <-t.C:
-			return sent == nil && a.watch.hasStalled()
+			return sent == nil && a.watch.leave()
 		}
 	}
 }
--- a/internal/app/dispatch/stall.go
+++ b/internal/app/dispatch/stall.go
@@ -34,6 +34,8 @@
 	timer *time.Timer
 	// stallsAt is when the stream stalls; zero while no event is expected.
 	stallsAt time.Time
+	// left means that the stream goes on elsewhere, so that no more events count.
+	left bool
 }
 
 func (w *stallWatch) arm(d time.Duration) {
@@ -72,6 +74,21 @@
 	return !w.stallsAt.IsZero() && !time.Now().Before(w.stallsAt)
 }
 
+// leave reports whether the stream is still stalled; no event counts after that.
+func (w *stallWatch) leave() bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.left = w.hasStalledLocked()
+	return w.left
+}
+
+// hasLeft reports whether leave has returned true.
+func (w *stallWatch) hasLeft() bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.left
+}
+
 // recheck reports a stream that is still stalled once more after stallRecheck.
 func (w *stallWatch) recheck() {
 	w.mu.Lock()
--- a/internal/app/dispatch/stream.go
+++ b/internal/app/dispatch/stream.go
@@ -101,6 +101,9 @@
 		}
 		p.observeFirstEvent(c.Endpoint.ID, elapsed)
 	})
+	if w.hasLeft() {
+		return errStalled
+	}
 	var t tokenEvent
 	if err := json.Unmarshal(ev.Data, &t); err != nil {
 		return &core.Error{Kind: core.Upstream, Step: c.Stage, Peer: string(c.Endpoint.ID), Ran: core.RanUnknown, Detail: "a stream event is not valid", Err: err}
--- a/internal/daemon/stop_test.go
+++ b/internal/daemon/stop_test.go
@@ -167,18 +167,21 @@
 // shutdown began.
 func TestOperatorsRequestsDuringTheStopAreAnswered(t *testing.T) {
 	d := startDaemons(t, 1)[0]
+	var conn net.Conn
 	eventually(t, "operators' server", func() bool {
-		resp, err := http.Get("http://" + d.settings.Listen.Operators + "/healthz")
-		if err == nil {
-			resp.Body.Close()
-		}
+		var err error
+		conn, err = net.Dial("tcp", d.settings.Listen.Operators)
 		return err == nil
 	})
-	conn, err := net.Dial("tcp", d.settings.Listen.Operators)
+	defer conn.Close()
+	// Connections are accepted in order: the answer on a later one shows that conn, too, is
+	// accepted. The system resets those that are not when the listener closes.
+	later := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
+	resp, err := later.Get("http://" + d.settings.Listen.Operators + "/healthz")
 	if err != nil {
 		t.Fatal(err)
 	}
-	defer conn.Close()
+	resp.Body.Close()
 	stopped := make(chan error, 1)
 	go func() { stopped <- d.stop() }()
 	eventually(t, "operators' listener closed", func() bool {
