--- a/internal/adapter/telemetry/stop.go
+++ b/internal/adapter/telemetry/stop.go
@@ -187,10 +187,11 @@
 	Late time.Duration
 }
 
-// StopBegan reports that the daemon begins to stop.
-func (h *HostedRecorder) StopBegan(at time.Time, p *StopProgress) {
+// StopBegan reports that the daemon begins to stop. Requests without an answer end within
+// unanswered.
+func (h *HostedRecorder) StopBegan(at time.Time, unanswered time.Duration, p *StopProgress) {
 	h.stop.began.Store(&at)
-	h.log.Info().Int("in_progress", p.Requests.Total).Int64("late_ms", p.Late.Milliseconds()).Int64("within_ms", p.Remaining.Milliseconds()).Msg("stopping")
+	h.log.Info().Int("in_progress", p.Requests.Total).Int64("late_ms", p.Late.Milliseconds()).Int64("within_ms", p.Remaining.Milliseconds()).Int64("unanswered_within_ms", unanswered.Milliseconds()).Msg("stopping")
 	h.StopProgress(p)
 }
 
--- a/internal/adapter/telemetry/stop_test.go
+++ b/internal/adapter/telemetry/stop_test.go
@@ -35,7 +35,7 @@
 	left := progress.Begin("left", time.Now().Add(-3*time.Second))
 	left.Enter(forward.PhaseStages)
 	end("before", forward.PhaseDone, false, nil)
-	h.StopBegan(time.Now().Add(-time.Second), &StopProgress{Requests: progress.Summary(), Late: 700 * time.Millisecond, PeerTasks: []core.RequestID{"p1", "p2"}})
+	h.StopBegan(time.Now().Add(-time.Second), time.Second, &StopProgress{Requests: progress.Summary(), Late: 700 * time.Millisecond, PeerTasks: []core.RequestID{"p1", "p2"}})
 	for i := range 60 {
 		end(fmt.Sprint("id", i), forward.PhaseDone, false, nil)
 	}
--- a/internal/edge/lifecycle.go
+++ b/internal/edge/lifecycle.go
@@ -75,9 +75,9 @@
 // stop shuts the daemon down. It makes the readiness check fail and announces the leave
 // to the other daemons, serves new requests until the load balancer has noticed, and
 // waits for the requests in progress and the stage tasks of other daemons that have started
-// here. Requests that are left at the end are aborted: the end
-// of the process would close their connections without an answer, and in order, which
-// ends a stream of a caller of HTTP/1.0.
+// here. Requests that are left at the end are aborted: the end of the process would close
+// their connections without an answer, and in order, which ends a stream of a caller of
+// HTTP/1.0.
 func (d *Daemon) stop(callers *graceful.Server, abortRequests context.CancelCauseFunc) {
 	noticed := time.Now()
 	d.stopping.Store(true)
@@ -89,7 +89,7 @@
 	// Answers that have begun go on beyond the plan's end, since their callers lose nothing if
 	// the process is killed before. Those that would look complete then end with the plan.
 	cut := noticed.Add(grace - killMargin)
-	defer d.stopReport.begin(noticed, cut, delay)()
+	defer d.stopReport.begin(noticed, plan, cut, delay)()
 	if tasks := d.coordinator.HandBack(); tasks > 0 {
 		d.log.Info().Int("stage_tasks", tasks).Msg("stage_tasks_handed_back")
 	}
--- a/internal/edge/stopreport.go
+++ b/internal/edge/stopreport.go
@@ -6,6 +6,7 @@
 
 	"eelgrassgrade/internal/adapter/fleetrpc"
 	"eelgrassgrade/internal/adapter/telemetry"
+	"eelgrassgrade/internal/decide/shutdown"
 )
 
 // stopReportInterval is the time between two reports of a stopping daemon.
@@ -22,9 +23,9 @@
 // begin reports the begin of a stop that cuts requests at end, and its progress until the
 // returned function is called, which reports the outcome. delay tells how late the process
 // ran at the begin.
-func (r *stopReport) begin(began, end time.Time, delay schedulingDelay) (finish func()) {
+func (r *stopReport) begin(noticed time.Time, plan shutdown.Stop, end time.Time, delay schedulingDelay) (finish func()) {
 	r.end = end
-	r.daemon.telemetry.StopBegan(began, r.progress(max(delay.present, delay.usual)))
+	r.daemon.telemetry.StopBegan(noticed, plan.End.Sub(noticed), r.progress(max(delay.present, delay.usual)))
 	done := make(chan struct{})
 	var reporting sync.WaitGroup
 	reporting.Go(func() { r.repeat(done) })
