testnet: reserve ports against other test processes

TestARequestPartThatCrashesEnginesIsRefused/two_parts failed 1 of 28 times with seven processes of it on one core: 'listen tcp 127.0.0.1:25239: bind: address already in use'; a daemon did not start.

Cause: a process chose ports from its ID times 400, modulo 20,000, so that two processes whose IDs differ by a multiple of 50 had the same ones. That a port was free did not help: both find it free before either listens, and the endpoints of a test that restarts them leave their ports for a second or more. An endpoint that finds its port taken is missing from then on.

Change: a process reserves blocks of 100 ports by listening on the first port of each as long as it runs, and returns ports of its blocks only.

TestProcessesShareNoPorts guards it.

--- a/internal/testnet/testnet_test.go
+++ b/internal/testnet/testnet_test.go
@@ -22,3 +22,28 @@
 		defer l.Close()
 	}
 }
+
+// Guards against tests of two processes that get the same port: both find it free while
+// neither listens on it, or while an endpoint of one is about to start again.
+func TestProcessesShareNoPorts(t *testing.T) {
+	const pid = 1000
+	seen := map[string]int{}
+	processes := []*allocator{newAllocator(pid), newAllocator(pid + blockCount), newAllocator(pid + 1)}
+	for range 3 * blockPorts {
+		for i, p := range processes {
+			address, ok := p.freeAddress()
+			if !ok {
+				t.Fatal("no port is left")
+			}
+			if other, taken := seen[address]; taken {
+				t.Fatalf("processes %d and %d get %s", other, i, address)
+			}
+			seen[address] = i
+		}
+	}
+	for _, p := range processes {
+		for _, l := range p.reserved {
+			l.Close()
+		}
+	}
+}
