--- a/internal/decide/quarantine/parts_test.go
+++ b/internal/decide/quarantine/parts_test.go
@@ -133,6 +133,35 @@
 	}
 }
 
+// Guards against a part that crashes endpoints so often that it is never quarantined: only
+// the last crashes are kept, and they may be too near to each other to count.
+func TestAPartThatCrashesOftenIsQuarantined(t *testing.T) {
+	const bounding, contact, allowed = 5, 3 * time.Second, 3
+	for _, interval := range []time.Duration{50 * time.Millisecond, 100 * time.Millisecond, 150 * time.Millisecond} {
+		t.Run(interval.String(), func(t *testing.T) {
+			f := newPartFixture()
+			var bound time.Time
+			crashes, late := 0, 0
+			for range 10 * time.Second / interval {
+				if !f.refuses(faultyPart) {
+					if crashes++; crashes == bounding {
+						bound = f.clock.t.Add(contact)
+					}
+					if crashes > bounding && f.clock.t.After(bound) {
+						late++
+					}
+					f.crash(shared, faultyPart)
+				}
+				f.RecordSound([]Part{shared}, f.clock.t)
+				f.pass(interval)
+			}
+			if late > allowed {
+				t.Errorf("%d requests later than %v after crash %d, allowed %d", late, contact, bounding, allowed)
+			}
+		})
+	}
+}
+
 // Guards against a part that stays refused after a repair, and against many requests that
 // find out whether it is sound.
 func TestAQuarantinedPartIsProbed(t *testing.T) {
