--- a/internal/app/forward/stopping.go
+++ b/internal/app/forward/stopping.go
@@ -33,27 +33,27 @@
 }
 
 // add adds a request whose route is known.
-func (s *stopStates) add(rs *requestState, giveUp context.CancelCauseFunc) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if s.requests == nil {
-		s.requests = map[*requestState]*stopState{}
+func (p *stopStates) add(rs *requestState, giveUp context.CancelCauseFunc) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.requests == nil {
+		p.requests = map[*requestState]*stopState{}
 	}
-	s.requests[rs] = &stopState{giveUp: giveUp}
+	p.requests[rs] = &stopState{giveUp: giveUp}
 }
 
-func (s *stopStates) remove(rs *requestState) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	delete(s.requests, rs)
+func (p *stopStates) remove(rs *requestState) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	delete(p.requests, rs)
 }
 
 // sent records that a request is about to be sent. It returns false if the request was given
 // up: it then must not be sent, since its caller is told that it did not run.
-func (s *stopStates) sent(rs *requestState, now time.Time) bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	r := s.requests[rs]
+func (p *stopStates) sent(rs *requestState, now time.Time) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	r := p.requests[rs]
 	if r.givenUp {
 		return false
 	}
@@ -65,19 +65,19 @@
 }
 
 // answering records that the caller gets an answer.
-func (s *stopStates) answering(rs *requestState) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if r := s.requests[rs]; r != nil {
+func (p *stopStates) answering(rs *requestState) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if r := p.requests[rs]; r != nil {
 		r.state = shutdown.Answering
 	}
 }
 
 // failed records that a request has failed at an endpoint.
-func (s *stopStates) failed(rs *requestState) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	r := s.requests[rs]
+func (p *stopStates) failed(rs *requestState) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	r := p.requests[rs]
 	switch {
 	case rs.answerStarted:
 		r.state = shutdown.Answering
@@ -89,31 +89,31 @@
 }
 
 // ended records the time of an answer that has ended.
-func (s *stopStates) ended(route string, now time.Time, d time.Duration) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	t := s.times[route]
+func (p *stopStates) ended(route string, now time.Time, d time.Duration) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	t := p.times[route]
 	if t == nil {
-		if len(s.times) >= maxTrackedRoutes {
+		if len(p.times) >= maxTrackedRoutes {
 			return
 		}
-		if s.times == nil {
-			s.times = map[string]*shutdown.Times{}
+		if p.times == nil {
+			p.times = map[string]*shutdown.Times{}
 		}
 		t = &shutdown.Times{}
-		s.times[route] = t
+		p.times[route] = t
 	}
 	t.Observe(now, d)
 }
 
 // evidence returns what is known of the answers of a route: those that have ended lately,
-// and how long the oldest one has been in progress. s.mu is held.
-func (s *stopStates) evidence(route string, now time.Time) shutdown.Estimate {
+// and how long the oldest one has been in progress. p.mu is held.
+func (p *stopStates) evidence(route string, now time.Time) shutdown.Estimate {
 	var e shutdown.Estimate
-	if t := s.times[route]; t != nil {
+	if t := p.times[route]; t != nil {
 		e = t.Estimate(now)
 	}
-	for rs, r := range s.requests {
+	for rs, r := range p.requests {
 		if rs.route.Name == route && (r.state == shutdown.Unanswered || r.state == shutdown.Answering) {
 			e.Longest = max(e.Longest, now.Sub(r.sentAt))
 		}
