--- /dev/null
+++ b/review/standin2/replica.go
@@ -0,0 +1,358 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+)
+
+const heartbeat = 1200 * time.Millisecond
+
+// replica is a stand-in for one server of a service. A crash resets its channels and
+// closes its port.
+type replica struct {
+	bed     *bed
+	service string
+	name    string
+	address string
+	zone    string
+	slots   int
+	// restartAfter is how long it is away after a crash.
+	restartAfter time.Duration
+	// crashOn says whether it crashes as it begins to run the work with a key.
+	crashOn func(key string) bool
+	// work is how long a request runs, callTime and itemTime the parts of a stage call.
+	work, callTime, itemTime time.Duration
+	// unframed answers have neither a length nor chunks: they end with their channel.
+	unframed bool
+	// events is the number of events of a stream, eventGap the time between two.
+	events   int
+	eventGap time.Duration
+
+	mu       sync.Mutex
+	id       string
+	lives    int
+	server   *http.Server
+	up       bool
+	handles  map[string]string // handle to the request's id
+	made     int
+	open     int        // answers in progress that end with their channel
+	born     int64      // of the present lifetime
+	stageMu  sync.Mutex // one call at a time
+	inCall   int
+	stopped  bool
+	stopBeat context.CancelFunc
+}
+
+// start begins a lifetime.
+func (p *replica) start() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.stopped {
+		return
+	}
+	var l net.Listener
+	var err error
+	for range 50 {
+		if l, err = net.Listen("tcp", p.address); err == nil {
+			break
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+	if err != nil {
+		p.bed.fail("replica %s: %v", p.name, err)
+		return
+	}
+	p.lives++
+	p.id = fmt.Sprintf("i-%s-%d", p.name, p.lives)
+	p.handles, p.up = map[string]string{}, true
+	id, lives, born := p.id, p.lives, time.Now().UnixMilli()
+	p.born = born
+	p.server = &http.Server{
+		Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { p.serve(w, r, id, lives) }),
+	}
+	go func() { _ = p.server.Serve(l) }()
+	ctx, cancel := context.WithCancel(context.Background())
+	p.stopBeat = cancel
+	p.bed.store.put("servers", id, p.entry(born))
+	// An entry without a change is not written again by this stand-in's store: the daemons
+	// are told of changes only.
+	go func() {
+		<-ctx.Done()
+		p.bed.store.remove("servers", id)
+	}()
+	p.bed.rec.write("replica %s (%s) starts as %s at %s", p.name, p.service, id, p.address)
+}
+
+func (p *replica) entry(born int64) map[string]any {
+	return map[string]any{"backend": p.service, "address": p.address, "zone": p.zone, "version": "v1", "slots": p.slots, "state": "ready", "cold-remaining-ms": 0, "seq": 1, "born": born}
+}
+
+// crash ends the present lifetime at once. The next begins after restartAfter; the entry
+// lapses after three heartbeats of silence.
+func (p *replica) crash() {
+	p.mu.Lock()
+	if !p.up {
+		p.mu.Unlock()
+		return
+	}
+	p.up = false
+	server, lapse := p.server, p.stopBeat
+	p.mu.Unlock()
+	// Close closes the port first, then the channels, as the end of a process does.
+	_ = server.Close()
+	time.AfterFunc(3*heartbeat, lapse)
+	time.AfterFunc(p.restartAfter, p.start)
+}
+
+// end ends the replica for good.
+func (p *replica) end() {
+	p.mu.Lock()
+	p.stopped = true
+	server := p.server
+	p.mu.Unlock()
+	if server != nil {
+		_ = server.Close()
+	}
+}
+
+func (p *replica) serve(w http.ResponseWriter, r *http.Request, id string, life int) {
+	w.Header().Set(names["instance"], id)
+	if x := r.Header.Get(names["expect"]); x != "" && x != id {
+		w.WriteHeader(http.StatusMisdirectedRequest)
+		return
+	}
+	body, err := io.ReadAll(r.Body)
+	if err != nil {
+		return
+	}
+	switch r.URL.Path {
+	case "/health":
+		return
+	case names["stageRun"]:
+		p.runStage(w, r, body, life)
+	case names["stageFree"]:
+		p.free(body)
+	default:
+		p.runRequest(w, r, body, life)
+	}
+}
+
+type stageItem struct {
+	ID        string   `json:"id"`
+	Stage     int      `json:"stage"`
+	Piece     int      `json:"piece"`
+	Remaining int64    `json:"remaining-ms"`
+	Key       string   `json:"key"`
+	Inputs    []string `json:"inputs"`
+}
+
+// runStage runs the pieces of one call, one call after the other.
+func (p *replica) runStage(w http.ResponseWriter, r *http.Request, body []byte, life int) {
+	arrived := time.Now()
+	var call struct {
+		Items []stageItem `json:"items"`
+	}
+	if json.Unmarshal(body, &call) != nil {
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	p.mu.Lock()
+	if p.inCall > 2 {
+		p.mu.Unlock()
+		w.Header().Set(names["notRun"], "1")
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	p.inCall++
+	p.mu.Unlock()
+	defer func() {
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		p.inCall--
+	}()
+	for _, it := range call.Items {
+		p.bed.onPiece(p, it, arrived)
+	}
+	p.stageMu.Lock()
+	defer p.stageMu.Unlock()
+	if r.Context().Err() != nil || !p.lives2(life) {
+		return
+	}
+	for _, it := range call.Items {
+		if p.crashOn != nil && p.crashOn(it.Key) {
+			p.bed.onCrash(p, it.ID)
+			p.crash()
+			return
+		}
+	}
+	started := time.Now()
+	time.Sleep(p.callTime + time.Duration(len(call.Items))*p.itemTime)
+	if !p.lives2(life) {
+		return
+	}
+	items := make([]map[string]string, len(call.Items))
+	for i, it := range call.Items {
+		if it.Remaining > 0 && started.Sub(arrived) > time.Duration(it.Remaining)*time.Millisecond {
+			items[i] = map[string]string{"reason": "late"}
+			continue
+		}
+		p.mu.Lock()
+		p.made++
+		h := fmt.Sprintf("%s/%s-%d-%06x", p.address, p.name, life, p.made)
+		p.handles[h] = it.ID
+		p.mu.Unlock()
+		items[i] = map[string]string{"handle": h}
+	}
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(map[string]any{"items": items})
+}
+
+// lives2 reports whether the lifetime goes on.
+func (p *replica) lives2(life int) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.up && p.lives == life
+}
+
+func (p *replica) free(body []byte) {
+	var call struct {
+		Handles []string `json:"handles"`
+	}
+	_ = json.Unmarshal(body, &call)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, h := range call.Handles {
+		delete(p.handles, h)
+	}
+}
+
+// runRequest runs a client's request.
+func (p *replica) runRequest(w http.ResponseWriter, r *http.Request, body []byte, life int) {
+	id := r.Header.Get(names["id"])
+	p.bed.onArrival(p, r, body)
+	w.Header().Set(names["id"], id)
+	if p.crashOn != nil && p.crashOn(string(body)) {
+		p.bed.onCrash(p, id)
+		p.crash()
+		return
+	}
+	select {
+	case <-r.Context().Done():
+		return
+	case <-time.After(p.work):
+	}
+	if !p.lives2(life) {
+		return
+	}
+	w.Header().Set(names["seal"], "seal."+id)
+	if p.unframed {
+		p.writeUnframed(w, id, body)
+		return
+	}
+	if p.events == 0 {
+		_, _ = io.WriteString(w, answerTo(id, body))
+		return
+	}
+	w.Header().Set("Content-Type", "text/event-stream")
+	first := 1
+	if n, err := strconv.Atoi(r.Header.Get(names["lastEvent"])); err == nil {
+		first = n + 1
+	}
+	for i := first; i <= p.events; i++ {
+		_, _ = io.WriteString(w, eventOf(id, i))
+		w.(http.Flusher).Flush()
+		select {
+		case <-r.Context().Done():
+			return
+		case <-time.After(p.eventGap):
+		}
+	}
+}
+
+func answerTo(id string, body []byte) string { return "answer to " + id + ": " + string(body) }
+
+func eventOf(id string, n int) string { return fmt.Sprintf("id: %d\ndata: %s\n\n", n, id) }
+
+func wholeStream(id string, n int) string {
+	var b strings.Builder
+	for i := 1; i <= n; i++ {
+		b.WriteString(eventOf(id, i))
+	}
+	return b.String()
+}
+
+// writeUnframed writes an answer that ends with its channel, which is closed in order.
+func (p *replica) writeUnframed(w http.ResponseWriter, id string, body []byte) {
+	conn, _, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		return
+	}
+	p.mu.Lock()
+	p.open++
+	p.mu.Unlock()
+	defer func() {
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		p.open--
+	}()
+	var head strings.Builder
+	head.WriteString("HTTP/1.1 200 OK\r\nConnection: close\r\n")
+	if p.events > 0 {
+		w.Header().Set("Content-Type", "text/event-stream")
+	}
+	_ = w.Header().Write(&head)
+	head.WriteString("\r\n")
+	_, err = io.WriteString(conn, head.String())
+	if p.events == 0 && err == nil {
+		_, err = io.WriteString(conn, answerTo(id, body))
+	}
+	for i := 1; i <= p.events && err == nil; i++ {
+		_, err = io.WriteString(conn, eventOf(id, i))
+		time.Sleep(p.eventGap)
+	}
+	if t, ok := conn.(*net.TCPConn); ok && err == nil {
+		err = t.CloseWrite()
+		p.bed.onWhole(p, id, err)
+		// What the caller still sends is read, so that the close is no reset.
+		_ = t.SetReadDeadline(time.Now().Add(2 * time.Second))
+		_, _ = io.Copy(io.Discard, t)
+	}
+	_ = conn.Close()
+}
+
+// drain announces that the replica leaves. It serves on for the given time, then closes its
+// port, ends the answers in progress in order, and is gone.
+func (p *replica) drain(serves time.Duration) {
+	p.mu.Lock()
+	id, server, lapse := p.id, p.server, p.stopBeat
+	p.mu.Unlock()
+	entry := p.entry(p.born)
+	entry["state"], entry["seq"] = "draining", 2
+	p.bed.store.put("servers", id, entry)
+	p.bed.rec.write("replica %s reports draining; the store has confirmed it", p.name)
+	time.Sleep(serves)
+	p.mu.Lock()
+	p.stopped = true
+	p.mu.Unlock()
+	p.bed.rec.write("replica %s takes no new channels and ends its answers", p.name)
+	go func() { _ = server.Shutdown(context.Background()) }()
+	for {
+		p.mu.Lock()
+		open := p.open
+		p.mu.Unlock()
+		if open == 0 {
+			break
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+	p.bed.rec.write("replica %s has ended all answers and exits", p.name)
+	lapse()
+}
