--- a/review/standin2/case_drain.go
+++ b/review/standin2/case_drain.go
@@ -58,7 +58,7 @@
 // caseDrain: a replica whose answers end with their channel drains. It serves for longer than
 // the drain time, then takes no new channels and ends its answers in order.
 func caseDrain(b *bed, trouble bool) (string, error) {
-	const streams, events = 24, 25
+	const streams, events = 32, 25
 	var mu sync.Mutex
 	whole := map[string]string{}
 	b.onWhole = func(p *replica, id string, err error) {
@@ -74,7 +74,7 @@
 		"priority": 1, "backend": "models", "attempts": 1, "public": false, "affinity": false, "stream-resume": false, "gap-target-ms": 500})
 	b.store.put("op", "config", m)
 	var models []*replica
-	err := addStagedReplicas(b, func(p *replica) {
+	err := addStagedReplicas(b, 4, func(p *replica) {
 		if p.service == "models" {
 			p.unframed, p.events, p.eventGap = true, events, 180*time.Millisecond
 			models = append(models, p)
--- a/review/standin2/case_order.go
+++ b/review/standin2/case_order.go
@@ -41,7 +41,7 @@
 		b.rec.write("%s runs at %s (%s)", r.Header.Get(names["id"]), p.name, p.service)
 	}
 	b.store.put("op", "config", manifest(7, false))
-	if err := addStagedReplicas(b, func(*replica) {}); err != nil {
+	if err := addStagedReplicas(b, 3, func(*replica) {}); err != nil {
 		return "", err
 	}
 	desk := &replica{service: "newdesk", name: "newdesk1", zone: "a", slots: 6, work: 30 * time.Millisecond}
--- a/review/standin2/case_piece.go
+++ b/review/standin2/case_piece.go
@@ -34,8 +34,8 @@
 	}
 }
 
-// addStagedReplicas adds the replicas of stagedManifest.
-func addStagedReplicas(b *bed, change func(p *replica)) error {
+// addStagedReplicas adds the replicas of stagedManifest, with the given number for models.
+func addStagedReplicas(b *bed, models int, change func(p *replica)) error {
 	add := func(service string, n int, create func() *replica) error {
 		for i := range n {
 			p := create()
@@ -48,7 +48,7 @@
 		}
 		return nil
 	}
-	err := add("models", 3, func() *replica {
+	err := add("models", models, func() *replica {
 		return &replica{slots: 128, work: 60 * time.Millisecond, events: 8, eventGap: 20 * time.Millisecond}
 	})
 	if err == nil {
@@ -96,7 +96,7 @@
 		b.rec.write("replica %s crashes as it begins to run a piece of %s", p.name, id)
 	}
 	b.store.put("op", "config", stagedManifest(7))
-	err := addStagedReplicas(b, func(p *replica) {
+	err := addStagedReplicas(b, 3, func(p *replica) {
 		if trouble {
 			p.crashOn = func(k string) bool { return k == bad }
 		}
