--- a/review/standin2/bed.go
+++ b/review/standin2/bed.go
@@ -74,6 +74,8 @@
 	onPiece   func(p *replica, it stageItem, at time.Time)
 	onArrival func(p *replica, r *http.Request, body []byte)
 	onCrash   func(p *replica, id string)
+	// onEvent is called when a replica makes an event of a stream.
+	onEvent func(p *replica, id string, n int)
 	// onWhole is called when a replica has written an unframed answer to its end.
 	onWhole func(p *replica, id string, err error)
 }
@@ -97,7 +99,7 @@
 		return nil, err
 	}
 	b := &bed{dir: dir, root: root, rec: rec, store: newStore(), grace: 8 * time.Second, slack: 56,
-		onPiece: func(*replica, stageItem, time.Time) {}, onArrival: func(*replica, *http.Request, []byte) {}, onCrash: func(*replica, string) {}, onWhole: func(*replica, string, error) {}}
+		onPiece: func(*replica, stageItem, time.Time) {}, onArrival: func(*replica, *http.Request, []byte) {}, onCrash: func(*replica, string) {}, onWhole: func(*replica, string, error) {}, onEvent: func(*replica, string, int) {}}
 	l, err := net.Listen("tcp", b.ip(200)+":0")
 	if err != nil {
 		return nil, err
--- a/review/standin2/main.go
+++ b/review/standin2/main.go
@@ -17,9 +17,12 @@
 
 // cases are the cases by name. Each returns what broke the rule, or "".
 var cases = map[string]func(b *bed, trouble bool) (broken string, err error){
-	"piece": casePiece,
-	"drain": caseDrain,
-	"order": caseOrder,
+	"piece":   casePiece,
+	"drain":   caseDrain,
+	"order":   caseOrder,
+	"twice":   caseTwice,
+	"expire":  caseExpire,
+	"killall": caseKillAll,
 }
 
 func main() { os.Exit(run()) }
--- a/review/standin2/replica.go
+++ b/review/standin2/replica.go
@@ -30,6 +30,11 @@
 	crashOn func(key string) bool
 	// work is how long a request runs, callTime and itemTime the parts of a stage call.
 	work, callTime, itemTime time.Duration
+	// keepsRunning replicas go on with a request whose channel was closed.
+	keepsRunning bool
+	// preempts returns after how many of its events a request is preempted, for how long; 0
+	// if it is not. It may be nil.
+	preempts func(id string) (after int, pause time.Duration)
 	// unframed answers have neither a length nor chunks: they end with their channel.
 	unframed bool
 	// events is the number of events of a stream, eventGap the time between two.
@@ -95,15 +100,16 @@
 	return map[string]any{"backend": p.service, "address": p.address, "zone": p.zone, "version": "v1", "slots": p.slots, "state": "ready", "cold-remaining-ms": 0, "seq": 1, "born": born}
 }
 
-// crash ends the present lifetime at once. The next begins after restartAfter; the entry
-// lapses after three heartbeats of silence.
-func (p *replica) crash() {
+// crash ends the present lifetime at once, because of the request id. The next begins after
+// restartAfter; the entry lapses after three heartbeats of silence.
+func (p *replica) crash(id string) {
 	p.mu.Lock()
 	if !p.up {
 		p.mu.Unlock()
 		return
 	}
 	p.up = false
+	p.bed.onCrash(p, id)
 	server, lapse := p.server, p.stopBeat
 	p.mu.Unlock()
 	// Close closes the port first, then the channels, as the end of a process does.
@@ -188,8 +194,7 @@
 	}
 	for _, it := range call.Items {
 		if p.crashOn != nil && p.crashOn(it.Key) {
-			p.bed.onCrash(p, it.ID)
-			p.crash()
+			p.crash(it.ID)
 			return
 		}
 	}
@@ -240,8 +245,7 @@
 	p.bed.onArrival(p, r, body)
 	w.Header().Set(names["id"], id)
 	if p.crashOn != nil && p.crashOn(string(body)) {
-		p.bed.onCrash(p, id)
-		p.crash()
+		p.crash(id)
 		return
 	}
 	select {
@@ -266,13 +270,33 @@
 	if n, err := strconv.Atoi(r.Header.Get(names["lastEvent"])); err == nil {
 		first = n + 1
 	}
+	p.writeEvents(w, r, id, first)
+}
+
+// writeEvents writes a stream from an event on.
+func (p *replica) writeEvents(w http.ResponseWriter, r *http.Request, id string, first int) {
+	after, pause := 0, time.Duration(0)
+	if p.preempts != nil {
+		after, pause = p.preempts(id)
+	}
 	for i := first; i <= p.events; i++ {
+		wait := p.eventGap
+		if i == after {
+			wait += pause
+			p.bed.rec.write("replica %s preempts %s after event %d", p.name, id, i)
+		}
+		p.bed.onEvent(p, id, i)
 		_, _ = io.WriteString(w, eventOf(id, i))
 		w.(http.Flusher).Flush()
+		left := r.Context().Done()
+		if p.keepsRunning {
+			left = nil
+		}
 		select {
-		case <-r.Context().Done():
+		case <-left:
+			p.bed.rec.write("replica %s drops %s after event %d: its channel is closed", p.name, id, i)
 			return
-		case <-time.After(p.eventGap):
+		case <-time.After(wait):
 		}
 	}
 }
