forward: refuse requests that leave a stage without the results it needs

One that omitted all last stages reached its model engine without inputs after its stages had run.

Cause: buildTask gave a stage the key whenever its list of inputs was empty. It now follows from the stage's dependencies. Ruled out by the record of the case: inputs that are lost on the way to another coordinator (the piece is asked for before stage 0 has ended), and a header that is misread.

Change: catalog.Route.CheckPieces, asked on arrival. Such a request gets 400 at once, not run: it can never be served as it is, since results of a stage that is not in `after` would be inputs of another stage.

--- a/internal/app/forward/forward.go
+++ b/internal/app/forward/forward.go
@@ -225,6 +225,9 @@
 			}
 		}
 	}
+	if err := rs.route.CheckPieces(r.PieceCounts); err != nil {
+		return &core.Error{Kind: core.Invalid, Step: "route", Ran: core.RanNot, Detail: err.Error()}
+	}
 	rs.pool = rs.route.PickPool(rand.Float64())
 	timeout := r.Timeout
 	if timeout <= 0 {
--- a/internal/app/forward/stages.go
+++ b/internal/app/forward/stages.go
@@ -207,7 +207,7 @@
 	if len(resultsPerDataCenter) > 0 {
 		t.PreferredDataCenter = dataCenterWithMost(resultsPerDataCenter)
 	}
-	if len(t.Inputs) == 0 {
+	if len(s.DependsOn) == 0 {
 		t.Key = rs.req.PieceKey
 	}
 	if t.Deadline.Before(f.now().Add(minRemaining)) {
--- a/internal/decide/catalog/catalog.go
+++ b/internal/decide/catalog/catalog.go
@@ -79,26 +79,6 @@
 	Homes Homes
 }
 
-// FinalStages returns the indexes of the stages that no other stage depends on. Their
-// results are the inputs of the request itself.
-func (r *Route) FinalStages() []int {
-	hasDependents := make([]bool, len(r.Stages))
-	for _, s := range r.Stages {
-		for _, d := range s.DependsOn {
-			if d >= 0 && d < len(hasDependents) {
-				hasDependents[d] = true
-			}
-		}
-	}
-	var final []int
-	for i, has := range hasDependents {
-		if !has {
-			final = append(final, i)
-		}
-	}
-	return final
-}
-
 // Batching describes endpoints that process several pieces in one call.
 type Batching struct {
 	// MaxPieces bounds the number of pieces of a call.
