forward: refuse numbers of pieces that cannot be run

What callers saw: a request with `Pieces: 4294967298,1` got 200 for two pieces, since the message to another coordinator holds 32 bits; one with a header that is not a list of numbers got 200 as if it had no pieces; one with more pieces than any queue takes got 503 "come back" although it never fits.

--- a/internal/adapter/fleetrpc/fleetrpc.go
+++ b/internal/adapter/fleetrpc/fleetrpc.go
@@ -20,6 +20,7 @@
 	"eelgrassgrade/internal/app/permits"
 	"eelgrassgrade/internal/app/stagework"
 	"eelgrassgrade/internal/core"
+	"eelgrassgrade/internal/decide/catalog"
 )
 
 const (
@@ -241,8 +242,8 @@
 	defer done()
 	group, t := taskFromPB(s.now(), m)
 	t.FromPeer = true
-	if t.Pieces < 1 || t.Pieces > maxTaskPieces {
-		return status.Errorf(codes.InvalidArgument, "the task has %d pieces, want 1 to %d", t.Pieces, maxTaskPieces)
+	if t.Pieces < 1 || t.Pieces > catalog.MaxPieces {
+		return status.Errorf(codes.InvalidArgument, "the task has %d pieces, want 1 to %d", t.Pieces, catalog.MaxPieces)
 	}
 	var sendMu sync.Mutex
 	t.OnStart = func() {
@@ -266,9 +267,6 @@
 	return replies.Send(reply)
 }
 
-// maxTaskPieces bounds the pieces of one task.
-const maxTaskPieces = 1024
-
 // Release implements fleetpb.FleetServer.
 func (s *Server) Release(_ context.Context, r *fleetpb.ReleaseRequest) (*fleetpb.ReleaseReply, error) {
 	s.coordinator.Release(core.PoolID(r.GetPool()), resultsFromPB(r.GetResults()))
--- a/internal/decide/catalog/stages.go
+++ b/internal/decide/catalog/stages.go
@@ -25,6 +25,9 @@
 	return final
 }
 
+// MaxPieces bounds the pieces of one stage of a request.
+const MaxPieces = 1024
+
 // CheckPieces returns an error if the stages of a request cannot be run with the given
 // number of pieces by stage, where missing numbers are 0 and a stage with 0 pieces is
 // omitted. A stage that depends on others needs the results of at least one of them, and
@@ -37,6 +40,9 @@
 			continue
 		}
 		included++
+		if counts[i] > MaxPieces {
+			return fmt.Errorf("stage %d has %d pieces, at most %d are allowed", i, counts[i], MaxPieces)
+		}
 		if len(s.DependsOn) > 0 && !slices.ContainsFunc(s.DependsOn, func(d int) bool { return !omitted(d) }) {
 			return fmt.Errorf("stage %d needs results of the stages %v, all of which the request omits", i, s.DependsOn)
 		}
