catalog: run stages in any order that their dependencies allow

Cause: catalog.New took a dependency on a later stage for an error, and an error of one route made the daemon discard the version. Ruled out: a stalled watch of the store, since the other two hypotheses' lines and the decoder's error tell otherwise.

Change: StageOrder sorts the stages by their dependencies, and the estimates follow it. Stages that are listed in order keep it, so decisions about the users' sites are the same.

--- a/internal/app/forward/omitted_stages_test.go
+++ b/internal/app/forward/omitted_stages_test.go
@@ -26,6 +26,8 @@
 	{"two roots", [][]int{{}, {}, {0, 1}}, "000 111 101 011"},
 	{"beside a chain", [][]int{{}, {}, {1}}, "000 100 011 111 110"},
 	{"two ends", [][]int{{}, {0}, {0}}, "000 111 110 101"},
+	{"reversed chain", [][]int{{1}, {2}, {}}, "000 111"},
+	{"mixed diamond", [][]int{{2}, {0, 3}, {}, {2}}, "0000 1111 1110 0111"},
 }
 
 // Guards against a stage that is asked for with the request's key and without inputs since
--- a/internal/app/forward/plan.go
+++ b/internal/app/forward/plan.go
@@ -1,6 +1,7 @@
 package forward
 
 import (
+	"slices"
 	"time"
 
 	"eelgrassgrade/internal/decide/catalog"
@@ -47,10 +48,11 @@
 	n := len(r.Stages)
 	p := plan{callTimes: make([]time.Duration, n), timesToFirstEvent: make([]time.Duration, n), laterStages: make([]int, n), firstEventTime: firstEventTime, expectedTime: firstEventTime, unqueuedTime: firstEventTime}
 	endWithWaits, endWithoutWaits := make([]time.Duration, n), make([]time.Duration, n)
-	for i := n - 1; i >= 0; i-- {
+	order := r.StageOrder()
+	for _, i := range slices.Backward(order) {
 		p.callTimes[i] = expectedCallTime(s, r.Stages[i], pieceCount(pieceCounts, i))
 		untilFirstEvent := firstEventTime
-		for j := i + 1; j < n; j++ {
+		for j := range r.Stages {
 			for _, dep := range r.Stages[j].DependsOn {
 				if dep == i && pieceCount(pieceCounts, j) > 0 {
 					p.laterStages[i] = max(p.laterStages[i], p.laterStages[j]+1)
@@ -63,7 +65,8 @@
 		}
 		p.timesToFirstEvent[i] = p.callTimes[i] + untilFirstEvent
 	}
-	for i, st := range r.Stages {
+	for _, i := range order {
+		st := r.Stages[i]
 		if pieceCount(pieceCounts, i) == 0 {
 			continue
 		}
--- a/internal/app/forward/plan_test.go
+++ b/internal/app/forward/plan_test.go
@@ -2,11 +2,13 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"slices"
 	"testing"
 	"time"
 
 	"eelgrassgrade/internal/core"
+	"eelgrassgrade/internal/decide/catalog"
 )
 
 // Guards against admitting requests whose target is missed because of the stages'
@@ -50,3 +52,40 @@
 		}
 	})
 }
+
+// Guards against times and counts of later stages that depend on the order in which a route
+// lists its stages.
+func TestPlanDoesNotDependOnTheOrderOfStages(t *testing.T) {
+	withFakePlatform(t, 1, func(p *fakePlatform) {
+		graph := [][]int{{}, {0}, {0}, {1, 2}, {}, {3, 4}}
+		plans := func(place []int) (plan, *catalog.Snapshot) {
+			route := &catalog.Route{Name: "r", Host: "h", Prefix: "/r/", LatencyTarget: time.Second, Stages: make([]catalog.Stage, len(graph))}
+			counts := make([]int, len(graph))
+			for i, after := range graph {
+				stage := catalog.Stage{Pool: "s"}
+				for _, d := range after {
+					stage.DependsOn = append(stage.DependsOn, place[d])
+				}
+				route.Stages[place[i]], counts[place[i]] = stage, i+1
+			}
+			snapshot := newSnapshot(t, p.snapshot, route)
+			return newPlan(route, snapshot, counts, 200*time.Millisecond, func(stage int) time.Duration {
+				return time.Duration(slices.Index(place, stage)) * 100 * time.Millisecond
+			}), snapshot
+		}
+		want, wantSnapshot := plans([]int{0, 1, 2, 3, 4, 5})
+		random := rand.New(rand.NewPCG(1, 2))
+		for range 200 {
+			place := random.Perm(len(graph))
+			got, snapshot := plans(place)
+			if got.expectedTime != want.expectedTime || got.unqueuedTime != want.unqueuedTime || snapshot.Tight() != wantSnapshot.Tight() {
+				t.Fatalf("stages at %v: expected %v, %v without queues, tight %v; want %v, %v, %v", place, got.expectedTime, got.unqueuedTime, snapshot.Tight(), want.expectedTime, want.unqueuedTime, wantSnapshot.Tight())
+			}
+			for i, at := range place {
+				if got.callTimes[at] != want.callTimes[i] || got.timesToFirstEvent[at] != want.timesToFirstEvent[i] || got.laterStages[at] != want.laterStages[i] {
+					t.Fatalf("stages at %v: stage %d is planned differently", place, i)
+				}
+			}
+		}
+	})
+}
--- a/internal/decide/catalog/stages.go
+++ b/internal/decide/catalog/stages.go
@@ -25,6 +25,47 @@
 	return final
 }
 
+// StageOrder returns the indexes of the stages in an order in which each comes after those
+// that it depends on. It returns nil if there is none.
+func (r *Route) StageOrder() []int {
+	if len(r.stageOrder) == len(r.Stages) {
+		return r.stageOrder
+	}
+	order, _ := orderStages(r.Stages)
+	return order
+}
+
+// orderStages returns the order that has the lowest possible index at each place. It fails
+// if stages depend on each other or on a stage that does not exist.
+func orderStages(stages []Stage) ([]int, error) {
+	order := make([]int, 0, len(stages))
+	ordered := make([]bool, len(stages))
+	ready := func(i int) bool {
+		return !slices.ContainsFunc(stages[i].DependsOn, func(d int) bool { return !ordered[d] })
+	}
+	for i, s := range stages {
+		for _, d := range s.DependsOn {
+			if d < 0 || d >= len(stages) {
+				return nil, fmt.Errorf("stage %d depends on stage %d, which does not exist", i, d)
+			}
+		}
+	}
+	for len(order) < len(stages) {
+		next := -1
+		for i := range stages {
+			if !ordered[i] && ready(i) {
+				next = i
+				break
+			}
+		}
+		if next < 0 {
+			return nil, fmt.Errorf("stage %d depends on itself, directly or through other stages", slices.Index(ordered, false))
+		}
+		order, ordered[next] = append(order, next), true
+	}
+	return order, nil
+}
+
 // MaxPieces bounds the pieces of one stage of a request.
 const MaxPieces = 1024
 
--- a/internal/decide/catalog/tight.go
+++ b/internal/decide/catalog/tight.go
@@ -35,7 +35,8 @@
 func fullCallPath(r *Route, pools map[string]*Batching) time.Duration {
 	ends := make([]time.Duration, len(r.Stages))
 	longest := time.Duration(0)
-	for i, s := range r.Stages {
+	for _, i := range r.StageOrder() {
+		s := r.Stages[i]
 		for _, dep := range s.DependsOn {
 			ends[i] = max(ends[i], ends[dep])
 		}
