config: use a version although some of its entries cannot be used

What callers saw: one odd entry of a route, a pool or an account (a number as text, a field of another type, null, stages in a circle, a version written 7.0) kept the whole version from being used.

Cause: the configuration was decoded and checked as one value, and an error discarded it. Operators saw one log line.

Change: entries are decoded one by one. One that cannot be used is marked with the reason, and its requests get 503 at once, not run; neither an older version's entry nor a guess stands in for it.

Also fixed by the marks: an account without a name ran requests for nobody, a route without a prefix took all requests of its host, one whose pools have no weight used the last of them, and a request whose stage names a pool that runs none waited until its deadline.

--- a/internal/adapter/telemetry/hosted.go
+++ b/internal/adapter/telemetry/hosted.go
@@ -381,17 +381,6 @@
 // maxLoggedDataCenters bounds the data centres that one log line names.
 const maxLoggedDataCenters = 16
 
-// ConfigChanged logs that a configuration is now in force or, with err set, that
-// it could not be read. row is the revision of the store that has it.
-func (h *HostedRecorder) ConfigChanged(version int64, row core.StoreRevision, err error) {
-	if err != nil {
-		h.log.Error().Int64("row", row.Version).Int64("restorations", row.Restorations).Err(err).Msg("config_unreadable")
-		return
-	}
-	h.set.GetOrCreateCounter(`eelgrass_config_changes_total`).Inc()
-	h.log.Info().Int64("config", version).Int64("row", row.Version).Int64("restorations", row.Restorations).Msg("config_in_force")
-}
-
 // EntriesSkipped logs when entries of the endpoint list become unreadable and when
 // all can be read again. n is the number of unreadable entries.
 func (h *HostedRecorder) EntriesSkipped(n int) {
--- a/internal/app/forward/fake_test.go
+++ b/internal/app/forward/fake_test.go
@@ -116,8 +116,7 @@
 			return &r
 		}
 		stages := []catalog.Stage{{Pool: "s", ResultBytes: 1000}, {Pool: "s", DependsOn: []int{0}, ResultBytes: 10}}
-		var err error
-		p.snapshot, err = catalog.New(3, []*catalog.Route{
+		p.snapshot = catalog.New(3, []*catalog.Route{
 			route("once", catalog.Route{Attempts: 1}),
 			route("safe", catalog.Route{Repeat: catalog.Repeatable, Attempts: 2}),
 			route("stream", catalog.Route{Stream: true, Attempts: 1}),
@@ -127,9 +126,6 @@
 			route("public", catalog.Route{Public: true, Attempts: 1}),
 		}, []*catalog.Pool{{ID: "s", Batching: &catalog.Batching{MaxPieces: 8, CallTime: 100 * time.Millisecond, PieceTime: time.Millisecond}}},
 			map[string]*catalog.Account{"key": {ID: "acc"}})
-		if err != nil {
-			t.Fatal(err)
-		}
 		p.forwarder = New(Options{Catalog: func() *catalog.Snapshot { return p.snapshot }, View: p.currentView,
 			Fleet: func() *fleet.View { return &fleet.View{} }, Endpoints: p, Stages: p, PausedUntil: p.pausedUntil, Limits: p, Budget: p, Events: discardEvents{}, Now: time.Now, Stop: p.stop})
 		p.forwarder.SetEndpoints(p.view)
--- a/internal/app/forward/forward.go
+++ b/internal/app/forward/forward.go
@@ -212,6 +212,9 @@
 	if rs.route == nil {
 		return &core.Error{Kind: core.NotFound, Step: "route", Ran: core.RanNot, Detail: "no route matches the request's host and path"}
 	}
+	if reason := rs.route.Unusable; reason != "" {
+		return unusableError("the route", reason)
+	}
 	rs.rank, rs.homes = combinedRank(0, rs.route.Priority), rs.route.Homes
 	if !rs.route.Public {
 		a, ok := rs.snapshot.Account(r.APIKey)
@@ -219,6 +222,9 @@
 			return &core.Error{Kind: core.Unauthorized, Step: "account", Ran: core.RanNot, Detail: "the API key is unknown"}
 		}
 		if a != nil {
+			if a.Unusable != "" {
+				return unusableError("the client account", a.Unusable)
+			}
 			rs.account, rs.homes = a.ID, rs.homes.Intersect(a.Homes)
 			if a.Priority != nil {
 				rs.rank = combinedRank(*a.Priority, rs.route.Priority)
@@ -229,6 +235,9 @@
 		return &core.Error{Kind: core.Invalid, Step: "route", Ran: core.RanNot, Detail: err.Error()}
 	}
 	rs.pool = rs.route.PickPool(rand.Float64())
+	if err := rs.checkPools(); err != nil {
+		return err
+	}
 	timeout := r.Timeout
 	if timeout <= 0 {
 		timeout = defaultTimeout
@@ -253,6 +262,34 @@
 	return f.checkQuarantine(rs)
 }
 
+// checkPools returns an error if the pool of a request, or one of its stages, cannot be used.
+func (rs *requestState) checkPools() *core.Error {
+	if p := rs.snapshot.Pool(rs.pool); p != nil && p.Unusable != "" {
+		return unusableError("the pool "+string(rs.pool), p.Unusable)
+	}
+	for i, s := range rs.route.Stages {
+		if pieceCount(rs.req.PieceCounts, i) == 0 {
+			continue
+		}
+		switch p := rs.snapshot.Pool(s.Pool); {
+		case p == nil:
+			return unusableError("the pool "+string(s.Pool), "it is not in the configuration")
+		case p.Unusable != "":
+			return unusableError("the pool "+string(s.Pool), p.Unusable)
+		case p.Batching == nil:
+			return unusableError("the pool "+string(s.Pool), "it runs no stages")
+		}
+	}
+	return nil
+}
+
+// unusableError refuses a request that needs an entry of the configuration that cannot be
+// used. It can be served once the operators have written another version.
+func unusableError(entry, reason string) *core.Error {
+	return &core.Error{Kind: core.Unavailable, Step: "configuration", Ran: core.RanNot, RetryAfter: jitteredRetryAfter(maxRetryAfter),
+		Detail: "the configuration of " + entry + " cannot be used: " + reason}
+}
+
 // Rank returns the account and the rank of a request as far as they are known, before the
 // request is served: the lowest rank if its route or its key is unknown.
 func (f *Forwarder) Rank(r *Request) (core.AccountID, int) {
--- a/internal/app/forward/omitted_stages_test.go
+++ b/internal/app/forward/omitted_stages_test.go
@@ -70,9 +70,9 @@
 func newSnapshot(t *testing.T, s *catalog.Snapshot, r *catalog.Route) *catalog.Snapshot {
 	t.Helper()
 	account, _ := s.Account("key")
-	changed, err := catalog.New(s.Version, []*catalog.Route{r}, []*catalog.Pool{s.Pool("s")}, map[string]*catalog.Account{"key": account})
-	if err != nil {
-		t.Fatal(err)
+	changed := catalog.New(s.Version, []*catalog.Route{r}, []*catalog.Pool{s.Pool("s")}, map[string]*catalog.Account{"key": account})
+	if r.Unusable != "" {
+		t.Fatal(r.Unusable)
 	}
 	return changed
 }
--- a/internal/app/forward/plan_test.go
+++ b/internal/app/forward/plan_test.go
@@ -59,7 +59,7 @@
 	withFakePlatform(t, 1, func(p *fakePlatform) {
 		graph := [][]int{{}, {0}, {0}, {1, 2}, {}, {3, 4}}
 		plans := func(place []int) (plan, *catalog.Snapshot) {
-			route := &catalog.Route{Name: "r", Host: "h", Prefix: "/r/", LatencyTarget: time.Second, Stages: make([]catalog.Stage, len(graph))}
+			route := &catalog.Route{Name: "r", Host: "h", Prefix: "/r/", Split: []catalog.WeightedPool{{Pool: "p", Weight: 1}}, LatencyTarget: time.Second, Stages: make([]catalog.Stage, len(graph))}
 			counts := make([]int, len(graph))
 			for i, after := range graph {
 				stage := catalog.Stage{Pool: "s"}
--- a/internal/ctl/platform.go
+++ b/internal/ctl/platform.go
@@ -51,6 +51,9 @@
 			r.Error = err.Error()
 			return t.report(&r, *asJSON)
 		}
+		for _, u := range c.Unusable {
+			r.Findings = append(r.Findings, positionedFinding{u.Position, u.Finding})
+		}
 		for _, f := range configcheck.Check(&c.Configuration) {
 			r.Findings = append(r.Findings, positionedFinding{c.Positions[f.List][f.Index], f})
 		}
--- a/internal/decide/catalog/catalog.go
+++ b/internal/decide/catalog/catalog.go
@@ -5,7 +5,6 @@
 
 import (
 	"cmp"
-	"fmt"
 	"slices"
 	"strings"
 	"time"
@@ -77,6 +76,9 @@
 	PromptAffinity bool
 	// Homes holds the regions whose endpoints may get the requests; nil allows all.
 	Homes Homes
+	// Unusable says why the route cannot be used, so that its requests are refused. It is
+	// empty if the route can be used.
+	Unusable string
 
 	// stageOrder is the result of StageOrder for the routes of a Snapshot.
 	stageOrder []int
@@ -119,6 +121,8 @@
 	HealthPath string
 	// Cold says how cold endpoints are treated.
 	Cold coldstart.Pool
+	// Unusable says why the pool cannot be used; empty if it can.
+	Unusable string
 }
 
 // Account is a client account.
@@ -129,6 +133,29 @@
 	// Homes holds the regions whose endpoints may get the account's requests; nil allows
 	// all.
 	Homes Homes
+	// Unusable says why the account cannot be used; empty if it can.
+	Unusable string
+}
+
+// List is a list of the configuration.
+type List string
+
+// The lists of a configuration, and its limits.
+const (
+	ListRoutes   List = "routes"
+	ListPools    List = "pools"
+	ListAccounts List = "accounts"
+	ListLimits   List = "limits"
+)
+
+// Problem is a mistake in an entry of the configuration.
+type Problem struct {
+	List List `json:"list"`
+	// Index is the place of the entry in its list, and Entry its name.
+	Index int    `json:"index"`
+	Entry string `json:"entry"`
+	// Text says what is wrong and what follows from it.
+	Text string `json:"text"`
 }
 
 // Limits bounds what callers may send and how long they may take; 0 stands for no value.
@@ -150,6 +177,8 @@
 type Snapshot struct {
 	Version int64
 	Limits  Limits
+	// Problems holds the entries that cannot be used, in the order of the configuration.
+	Problems []Problem
 
 	routes      map[string][]*Route
 	pools       map[core.PoolID]*Pool
@@ -160,21 +189,30 @@
 }
 
 // New returns a snapshot of the given version. keys maps API keys to accounts; if it is
-// nil, no request needs a key. It fails if the stages of a route cannot be run in any order.
-func New(version int64, routes []*Route, pools []*Pool, keys map[string]*Account) (*Snapshot, error) {
+// nil, no request needs a key. It marks entries as unusable that lack what their requests
+// need, and routes whose stages cannot be run in any order.
+func New(version int64, routes []*Route, pools []*Pool, keys map[string]*Account) *Snapshot {
 	s := &Snapshot{Version: version, routes: map[string][]*Route{}, pools: map[core.PoolID]*Pool{},
 		accounts: keys, requireKeys: keys != nil}
 	batching := map[string]*Batching{}
 	for _, p := range pools {
+		if p.ID == "" {
+			p.Unusable = cmp.Or(p.Unusable, "it has no name")
+		}
 		s.pools[p.ID] = p
 		batching[string(p.ID)] = p.Batching
 	}
+	for _, a := range keys {
+		if a.ID == "" {
+			a.Unusable = cmp.Or(a.Unusable, "it has no name")
+		}
+	}
 	for _, r := range routes {
 		order, err := orderStages(r.Stages)
+		r.stageOrder, r.Unusable = order, cmp.Or(r.Unusable, r.missing())
 		if err != nil {
-			return nil, fmt.Errorf("route %q: %w", r.Name, err)
+			r.Unusable = cmp.Or(r.Unusable, err.Error())
 		}
-		r.stageOrder = order
 		host := strings.ToLower(r.Host)
 		s.routes[host] = append(s.routes[host], r)
 	}
@@ -187,7 +225,20 @@
 	for _, list := range s.routes {
 		slices.SortStableFunc(list, func(a, b *Route) int { return cmp.Compare(len(b.Prefix), len(a.Prefix)) })
 	}
-	return s, nil
+	return s
+}
+
+// missing returns what the route lacks for its requests to be forwarded, or "".
+func (r *Route) missing() string {
+	switch {
+	case r.Host == "":
+		return "it has no host"
+	case r.Prefix == "":
+		return "it has no prefix"
+	case !slices.ContainsFunc(r.Split, func(w WeightedPool) bool { return w.Weight > 0 }):
+		return "it names no pool that gets requests"
+	}
+	return ""
 }
 
 // Match returns the route with the host and the longest matching prefix of path, or
--- a/internal/decide/catalog/catalog_test.go
+++ b/internal/decide/catalog/catalog_test.go
@@ -7,19 +7,14 @@
 	"eelgrassgrade/internal/core"
 )
 
-func mustNew(t *testing.T, routes []*Route, keys map[string]*Account) *Snapshot {
-	t.Helper()
-	s, err := New(1, routes, nil, keys)
-	if err != nil {
-		t.Fatal(err)
-	}
-	return s
+func newSnapshot(routes []*Route, keys map[string]*Account) *Snapshot {
+	return New(1, routes, nil, keys)
 }
 
 // Guards against a request that matches the route with a shorter prefix or of another
 // host.
 func TestLongestPrefixOfTheHostWins(t *testing.T) {
-	s := mustNew(t, []*Route{
+	s := newSnapshot([]*Route{
 		{Name: "short", Host: "a.example", Prefix: "/x/"},
 		{Name: "long", Host: "A.example", Prefix: "/x/y/"},
 		{Name: "other", Host: "b.example", Prefix: "/x/y/z/"},
@@ -47,7 +42,7 @@
 // against requests that are refused although none are.
 func TestKeys(t *testing.T) {
 	a := &Account{ID: "one"}
-	s := mustNew(t, nil, map[string]*Account{"k": a})
+	s := newSnapshot(nil, map[string]*Account{"k": a})
 	if got, ok := s.Account("k"); !ok || got != a {
 		t.Errorf("known key: %v, %v", got, ok)
 	}
@@ -57,10 +52,10 @@
 	if _, ok := s.Account(""); ok {
 		t.Error("a missing key is accepted")
 	}
-	if _, ok := mustNew(t, nil, map[string]*Account{}).Account("k"); ok {
+	if _, ok := newSnapshot(nil, map[string]*Account{}).Account("k"); ok {
 		t.Error("a key is accepted although the last account was removed")
 	}
-	if _, ok := mustNew(t, nil, nil).Account(""); !ok {
+	if _, ok := newSnapshot(nil, nil).Account(""); !ok {
 		t.Error("a key is required although none are configured")
 	}
 }
@@ -76,8 +71,8 @@
 // Guards against stages that would wait for each other forever.
 func TestStagesThatCannotBeOrdered(t *testing.T) {
 	for _, after := range [][][]int{{{0}}, {{1}}, {{-1}}, {{7}}, {{1}, {0}}, {{}, {2}, {1}}, {{}, {0}, {1, 3}, {2}}, {{2}, {0}, {1}}} {
-		r := &Route{Name: "r", Stages: stagesAfter(after...)}
-		if _, err := New(1, []*Route{r}, nil, nil); err == nil || r.StageOrder() != nil {
+		r := &Route{Name: "r", Host: "h", Prefix: "/", Split: []WeightedPool{{"a", 1}}, Stages: stagesAfter(after...)}
+		if New(1, []*Route{r}, nil, nil); r.Unusable == "" || r.StageOrder() != nil {
 			t.Errorf("stages after %v are accepted", after)
 		}
 	}
@@ -96,9 +91,9 @@
 		{[][]int{{2}, {0, 3}, {}, {2}}, "[2 0 3 1]"},
 		{[][]int{{}, {0, 0}}, "[0 1]"},
 	} {
-		r := &Route{Name: "r", Stages: stagesAfter(c.after...)}
-		mustNew(t, []*Route{r}, nil)
-		if got := fmt.Sprint(r.StageOrder()); got != c.want {
+		r := &Route{Name: "r", Host: "h", Prefix: "/", Split: []WeightedPool{{"a", 1}}, Stages: stagesAfter(c.after...)}
+		newSnapshot([]*Route{r}, nil)
+		if got := fmt.Sprint(r.StageOrder()); got != c.want || r.Unusable != "" {
 			t.Errorf("stages after %v run in the order %s, want %s", c.after, got, c.want)
 		}
 	}
--- a/internal/decide/catalog/tight_test.go
+++ b/internal/decide/catalog/tight_test.go
@@ -31,10 +31,7 @@
 		{"no target", []*Route{{Stages: one}}, false},
 	} {
 		list := pools()
-		s, err := New(1, c.routes, list, nil)
-		if err != nil {
-			t.Fatal(err)
-		}
+		s := New(1, c.routes, list, nil)
 		if s.Tight() != c.tight || list[0].Batching.Tight != c.tight {
 			t.Errorf("%s: tight %v, pools %v", c.name, s.Tight(), list[0].Batching.Tight)
 		}
--- a/internal/decide/configcheck/configcheck.go
+++ b/internal/decide/configcheck/configcheck.go
@@ -36,6 +36,14 @@
 type File struct {
 	Configuration
 	Positions map[List][]Position
+	// Unusable holds the entries that daemons cannot use.
+	Unusable []UnusableEntry
+}
+
+// UnusableEntry is an entry that daemons cannot use, with the place of the mistake.
+type UnusableEntry struct {
+	Finding
+	Position Position
 }
 
 // Position is a place in a file, from 1 on. Columns count bytes.
@@ -51,24 +59,17 @@
 }
 
 // List is a list of a configuration.
-type List string
+type List = catalog.List
 
 // The lists of a configuration.
 const (
-	Routes   List = "routes"
-	Pools    List = "pools"
-	Accounts List = "accounts"
+	Routes   = catalog.ListRoutes
+	Pools    = catalog.ListPools
+	Accounts = catalog.ListAccounts
 )
 
 // Finding is a mistake in an entry.
-type Finding struct {
-	List List `json:"list"`
-	// Index is the place of the entry in its list, and Entry its name.
-	Index int    `json:"index"`
-	Entry string `json:"entry"`
-	// Text says what is wrong and what follows from it.
-	Text string `json:"text"`
-}
+type Finding = catalog.Problem
 
 type checker struct {
 	pools    map[core.PoolID]*catalog.Pool
@@ -103,7 +104,7 @@
 }
 
 func (k *checker) add(list List, index int, entry, format string, args ...any) {
-	k.findings = append(k.findings, Finding{list, index, entry, fmt.Sprintf(format, args...)})
+	k.findings = append(k.findings, Finding{List: list, Index: index, Entry: entry, Text: fmt.Sprintf(format, args...)})
 }
 
 // checkTargets checks where the requests of a route go.
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -205,14 +205,14 @@
 		return
 	}
 	if err != nil {
-		d.telemetry.ConfigChanged(0, s.Position.StoreRevision, err)
+		d.telemetry.ConfigUnreadable(s.Position.StoreRevision, err)
 		return
 	}
 	if old := d.catalog.Load(); old != nil && c.Version <= old.Version {
 		return
 	}
 	d.catalog.Store(c)
-	d.telemetry.ConfigChanged(c.Version, s.Position.StoreRevision, nil)
+	d.telemetry.ConfigChanged(c.Version, s.Position.StoreRevision, c.Problems)
 	if c.Tight() {
 		d.log.Info().Int64("config", c.Version).Msg("config_tight")
 	}
