engine: take a reset during the upload for a broken answer

Cause: the reset is reported to the write of the request's body, and the read sees an orderly end. The platform's client has guarded against it since; internal/adapter/engine had no such guard.

--- a/internal/adapter/engine/transport.go
+++ b/internal/adapter/engine/transport.go
@@ -21,6 +21,7 @@
 	"eelgrassgrade/internal/app/holding"
 	"eelgrassgrade/internal/core"
 	"eelgrassgrade/internal/httplimit"
+	"eelgrassgrade/internal/resetconn"
 )
 
 const (
@@ -58,14 +59,14 @@
 		scheme = "https"
 	}
 	transport := &http.Transport{
-		DialContext:            limitHeads((&net.Dialer{Timeout: dialTimeout}).DialContext),
+		DialContext:            guarded((&net.Dialer{Timeout: dialTimeout}).DialContext),
 		MaxIdleConnsPerHost:    maxIdlePerEndpoint,
 		IdleConnTimeout:        idleConnTimeout,
 		DisableCompression:     true,
 		MaxResponseHeaderBytes: httplimit.MaxHeadBytes,
 	}
 	if dialTLS != nil {
-		transport.DialTLSContext = limitHeads(dialTLS)
+		transport.DialTLSContext = guarded(dialTLS)
 	}
 	return &Transport{scheme: scheme, memory: newAnswerMemory(unfinishedAnswersBytes), client: &http.Client{
 		Transport:     headTracer{transport},
@@ -73,14 +74,15 @@
 	}}
 }
 
-// limitHeads returns a dialer of connections on which the heads of responses are bounded.
-func limitHeads(dial DialTLS) DialTLS {
+// guarded returns a dialer of connections on which the heads of responses are bounded and a
+// reset is no orderly end.
+func guarded(dial DialTLS) DialTLS {
 	return func(ctx context.Context, network, addr string) (net.Conn, error) {
 		conn, err := dial(ctx, network, addr)
 		if err != nil {
 			return nil, err
 		}
-		return httplimit.NewConn(conn), nil
+		return httplimit.NewConn(resetconn.New(conn)), nil
 	}
 }
 
