engine: an answer whose status is none is a failure of the endpoint

Cause: net/http hands on any three digits. The dispatcher takes every status below 500 for the request's fault, and Admin takes every status below 300 for a success.

Change: a status below 200 is no answer, in calls, streams and commands.

Before: TestAnswersWithoutAStatusAreFailures fails nine checks (each status as result, as error status of a stream, and as accepted command). After: it passes.

--- a/internal/adapter/engine/admin.go
+++ b/internal/adapter/engine/admin.go
@@ -68,7 +68,7 @@
 		return nil, adminError(e, "the engine does not answer", err)
 	}
 	defer resp.Body.Close()
-	if resp.StatusCode >= 300 {
+	if !validStatus(resp) || resp.StatusCode >= http.StatusMultipleChoices {
 		return nil, adminError(e, "the engine answered "+resp.Status, nil)
 	}
 	answer, err := io.ReadAll(io.LimitReader(resp.Body, maxAdminAnswerBytes))
--- a/internal/adapter/engine/early_answer_test.go
+++ b/internal/adapter/engine/early_answer_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"bytes"
+	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -10,6 +11,8 @@
 	"testing"
 	"time"
 
+	"eelgrassgrade/internal/app/commands"
+	"eelgrassgrade/internal/app/dispatch"
 	"eelgrassgrade/internal/core"
 )
 
@@ -102,3 +105,23 @@
 		}
 	}
 }
+
+// Guards against an answer without a valid status that counts as one or as a refusal, after
+// which no other endpoint is tried, and against a command that counts as accepted.
+func TestAnswersWithoutAStatusAreFailures(t *testing.T) {
+	for _, status := range []string{"000", "001", "099"} {
+		e := serveRaw(t, "HTTP/1.1 "+status+" OK\r\n"+CallHeader+": CALL\r\nContent-Length: 2\r\n\r\n{}")
+		tr := New(nil)
+		c := core.Call{Request: "r", Stage: "s", Attempt: 1, Path: "/x", Body: []byte("{}"), Endpoint: e}
+		if r, err := tr.Do(t.Context(), c); core.AsError(err, "").Ran != core.RanUnknown || err == nil {
+			t.Errorf("status %s: got %+v, %v", status, r, err)
+		}
+		var refusal *dispatch.StatusError
+		if err := tr.Stream(t.Context(), c, func(core.Event) error { return nil }); core.AsError(err, "").Ran != core.RanUnknown || err == nil || errors.As(err, &refusal) {
+			t.Errorf("stream with status %s: %v", status, err)
+		}
+		if err := (&Admin{transport: tr}).Load(t.Context(), e, commands.Command{}, 1); err == nil {
+			t.Errorf("a command that was answered with status %s counts as accepted", status)
+		}
+	}
+}
--- a/internal/adapter/engine/transport.go
+++ b/internal/adapter/engine/transport.go
@@ -134,9 +134,17 @@
 	if err != nil {
 		return nil, a, a.newError(errorKind(ctx), errorDetail(ctx), a.classify(ctx, err))
 	}
+	if !validStatus(resp) {
+		resp.Body.Close()
+		return nil, a, a.newError(core.Upstream, fmt.Sprintf("the answer's status %03d is none", resp.StatusCode), nil)
+	}
 	return resp, a, nil
 }
 
+// validStatus reports whether a response has a status that ends a request. net/http returns
+// statuses below 100 as they are, and 101 without having asked for another protocol.
+func validStatus(resp *http.Response) bool { return resp.StatusCode >= http.StatusOK }
+
 // classify marks an error as a refused or a cut connection, where it is one.
 func (a *attempt) classify(ctx context.Context, err error) error {
 	switch {
