catalog: give a stage each input once

Cause: inputs are collected by dependency, and a dependency that is named twice counted twice.

Before: TestOmittedStages, new graph "named twice": two stages with doubled inputs. After: it passes.

--- a/internal/app/forward/omitted_stages_test.go
+++ b/internal/app/forward/omitted_stages_test.go
@@ -27,6 +27,7 @@
 	{"beside a chain", [][]int{{}, {}, {1}}, "000 100 011 111 110"},
 	{"two ends", [][]int{{}, {0}, {0}}, "000 111 110 101"},
 	{"reversed chain", [][]int{{1}, {2}, {}}, "000 111"},
+	{"named twice", [][]int{{}, {0, 0}, {1, 0, 1}}, "000 111 101"},
 	{"mixed diamond", [][]int{{2}, {0, 3}, {}, {2}}, "0000 1111 1110 0111"},
 }
 
@@ -83,7 +84,7 @@
 	t.Helper()
 	made, final := func(inputs []string, stages []int) bool {
 		want := 0
-		for _, s := range stages {
+		for _, s := range slices.Compact(slices.Sorted(slices.Values(stages))) {
 			want += counts[s]
 			for piece := range counts[s] {
 				if !slices.ContainsFunc(inputs, func(h string) bool { return strings.HasPrefix(h, fmt.Sprintf("r-%d-%d-", s, piece)) }) {
--- a/internal/decide/catalog/catalog.go
+++ b/internal/decide/catalog/catalog.go
@@ -32,7 +32,8 @@
 // itself is sent.
 type Stage struct {
 	Pool core.PoolID
-	// DependsOn lists, by index, the stages whose results are inputs of this one.
+	// DependsOn lists, by index, the stages whose results are inputs of this one. In a
+	// Snapshot each is named once.
 	DependsOn []int
 	// ResultBytes is the approximate size of one result.
 	ResultBytes int
@@ -208,6 +209,9 @@
 		}
 	}
 	for _, r := range routes {
+		for i := range r.Stages {
+			r.Stages[i].DependsOn = unique(r.Stages[i].DependsOn)
+		}
 		order, err := orderStages(r.Stages)
 		r.stageOrder, r.Unusable = order, cmp.Or(r.Unusable, r.missing())
 		if err != nil {
--- a/internal/decide/catalog/stages.go
+++ b/internal/decide/catalog/stages.go
@@ -66,6 +66,17 @@
 	return order, nil
 }
 
+// unique returns the stages in their order, each once.
+func unique(stages []int) []int {
+	var once []int
+	for _, s := range stages {
+		if !slices.Contains(once, s) {
+			once = append(once, s)
+		}
+	}
+	return once
+}
+
 // MaxPieces bounds the pieces of one stage of a request.
 const MaxPieces = 1024
 
