--- a/internal/decide/catalog/catalog.go
+++ b/internal/decide/catalog/catalog.go
@@ -266,13 +266,14 @@
 func (s *Snapshot) Pools() map[core.PoolID]*Pool { return s.pools }
 
 // Account returns the account of an API key, and whether the key is accepted. If the
-// catalog has no keys, it accepts any key and returns no account.
+// catalog has no keys, it accepts any key and returns no account. An empty key, which is that
+// of requests without one, belongs to nobody.
 func (s *Snapshot) Account(key string) (account *Account, accepted bool) {
 	if !s.requireKeys {
 		return nil, true
 	}
 	a, ok := s.accounts[key]
-	return a, ok
+	return a, ok && key != ""
 }
 
 // PickPool returns the pool for a request by the weights of the split. u is a random
--- a/internal/decide/catalog/catalog_test.go
+++ b/internal/decide/catalog/catalog_test.go
@@ -42,7 +42,7 @@
 // against requests that are refused although none are.
 func TestKeys(t *testing.T) {
 	a := &Account{ID: "one"}
-	s := newSnapshot(nil, map[string]*Account{"k": a})
+	s := newSnapshot(nil, map[string]*Account{"k": a, "": a})
 	if got, ok := s.Account("k"); !ok || got != a {
 		t.Errorf("known key: %v, %v", got, ok)
 	}
