edge: follow the endpoints of pools that the configuration has dropped

What callers and operators would see: a version drops a pool with stages, or the entry of the pool cannot be used, and its endpoints begin to leave; requests of the version before still run, and their stages are sent to the leaving endpoints (DRAIN, for pieces).

Cause: the stage client got the endpoints of the current configuration's pools only, and kept the last list of the others. It now gets those of a dropped pool until its list is empty.

Before: TestPiecesOfADroppedPoolRespectLeavingEndpoints: in two of three cases the leaving endpoint got another call. After: it passes, three times.

--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -80,6 +80,9 @@
 	storeFallback                           storeFallback
 	configTable, endpointTable, daemonTable *mirror.Table
 	assignMu                                sync.Mutex
+	// stagePools holds the pools with batched stages, also those that a newer configuration
+	// has dropped while endpoints of theirs are in use. assignMu guards it.
+	stagePools map[core.PoolID]*catalog.Pool
 	// caughtUp is set once this daemon has compared its copies with those of the others.
 	// Before that it uses no configuration.
 	caughtUp atomic.Bool
@@ -100,7 +103,7 @@
 	runtime.GOMAXPROCS(s.Cores)
 	debug.SetGCPercent(gcPercent)
 	debug.SetMemoryLimit(int64(float64(s.MemoryMB) * memoryLimitShare * (1 << 20)))
-	d := &Daemon{settingsPath: path, startedAt: time.Now(), settings: s, log: log, metrics: metrics.NewSet(), shutdown: make(chan struct{}, 1)}
+	d := &Daemon{settingsPath: path, startedAt: time.Now(), settings: s, log: log, metrics: metrics.NewSet(), shutdown: make(chan struct{}, 1), stagePools: map[core.PoolID]*catalog.Pool{}}
 	d.telemetry = telemetry.NewHostedRecorder(log, d.metrics, s.Log.LinesPerS)
 	d.memory = holding.New(clients.RoomFor(int64(s.MemoryMB)<<20, s.ClientLimits.MemoryShare), time.Now)
 	d.delays = newDelayMonitor(sweepInterval, time.Now())
@@ -254,7 +257,8 @@
 }
 
 // assignStageEndpoints passes the current endpoints of all pools with batched stages to
-// the stage client.
+// the stage client. Requests of an older configuration may still need a pool that the
+// current one does not have.
 func (d *Daemon) assignStageEndpoints() {
 	d.assignMu.Lock()
 	defer d.assignMu.Unlock()
@@ -264,7 +268,13 @@
 	}
 	for id, p := range c.Pools() {
 		if p.Batching != nil {
-			d.stageClient.SetEndpoints(p, v.ByPool[id])
+			d.stagePools[id] = p
+		}
+	}
+	for id, p := range d.stagePools {
+		d.stageClient.SetEndpoints(p, v.ByPool[id])
+		if current := c.Pool(id); len(v.ByPool[id]) == 0 && (current == nil || current.Batching == nil) {
+			delete(d.stagePools, id)
 		}
 	}
 }
