endpoints: let no entry of an unnamed pool hide a sound endpoint

Cause: of two entries with one address the later start counts, whatever their pools. An address is now taken only by an entry of a pool that the configuration names; where both are named, or neither is, the later start counts as before.

Before: with the call of SetNamedPools taken out, TestOddEntriesDoNotStopTheList fails with the new entry. After: it and TestEntriesOfUnnamedPoolsHideNoEndpoint pass.

--- a/internal/app/endpoints/endpoints.go
+++ b/internal/app/endpoints/endpoints.go
@@ -4,6 +4,7 @@
 package endpoints
 
 import (
+	"maps"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -54,6 +55,8 @@
 	graceEnds map[core.InstanceID]time.Time
 	// evacuated holds the data centres whose endpoints get no work.
 	evacuated map[core.DataCenterID]bool
+	// namedPools holds the pools that the configuration names; nil before there is one.
+	namedPools map[core.PoolID]bool
 }
 
 // Change is a change of one endpoint.
@@ -61,7 +64,8 @@
 	Entry Entry
 	// Kind is "listed", "leaving", "restarted" or "gone" for a change of the list,
 	// "evacuated" or "taken back" for one of its data centre, "asks for a pause" or "says
-	// that it leaves" for a notice.
+	// that it leaves" for a notice, "shown" or "hidden" if its address now counts for it or
+	// for another endpoint because of the pools that the configuration names.
 	Kind string
 }
 
@@ -142,6 +146,29 @@
 	s.publish(changes)
 }
 
+// SetNamedPools replaces the pools that the configuration names.
+func (s *Set) SetNamedPools(pools map[core.PoolID]bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.namedPools != nil && maps.Equal(s.namedPools, pools) {
+		return
+	}
+	s.namedPools = pools
+	old, next := s.view.Load(), s.buildView()
+	var changes []Change
+	for id, e := range s.listed {
+		_, before := old.ByID[id]
+		_, now := next.ByID[id]
+		switch {
+		case now && !before:
+			changes = append(changes, Change{e, "shown"})
+		case before && !now:
+			changes = append(changes, Change{e, "hidden"})
+		}
+	}
+	s.publish(changes)
+}
+
 // Pending reports whether an entry is in its return grace. Update must be called
 // again, even with the same list, to remove the entry when the grace ends.
 func (s *Set) Pending() bool {
@@ -150,15 +177,21 @@
 	return len(s.graceEnds) > 0
 }
 
-// publish builds the view from the entries and notices, and passes it to onChange if
-// there are changes. s.mu is held.
+// publish builds the view and passes it to onChange if there are changes. s.mu is held.
 func (s *Set) publish(changes []Change) {
+	v := s.buildView()
+	s.view.Store(v)
+	if len(changes) > 0 {
+		s.onChange(v, changes)
+	}
+}
+
+// buildView builds the view from the entries and notices. s.mu is held.
+func (s *Set) buildView() *View {
 	v := &View{ByPool: map[core.PoolID][]Entry{}, ByID: make(map[core.InstanceID]Entry, len(s.listed))}
-	// If several endpoints are listed with one address, it belongs to the one that
-	// started last.
 	byAddress := map[string]Entry{}
 	for _, e := range s.listed {
-		if other, ok := byAddress[e.Address]; !ok || e.StartedMs > other.StartedMs {
+		if other, ok := byAddress[e.Address]; !ok || s.precedes(e, other) {
 			byAddress[e.Address] = e
 		}
 	}
@@ -169,8 +202,15 @@
 		v.ByID[id] = e
 		v.ByPool[e.Pool] = append(v.ByPool[e.Pool], e)
 	}
-	s.view.Store(v)
-	if len(changes) > 0 {
-		s.onChange(v, changes)
+	return v
+}
+
+// precedes reports whether the address that two endpoints list belongs to e: it belongs to
+// the one that started last. An entry of a pool that the configuration does not name may
+// come from another writer, and takes no address from an endpoint of a pool that it names.
+func (s *Set) precedes(e, other Entry) bool {
+	if named := s.namedPools == nil || s.namedPools[e.Pool]; named != (s.namedPools == nil || s.namedPools[other.Pool]) {
+		return named
 	}
+	return e.StartedMs > other.StartedMs
 }
--- a/internal/decide/catalog/catalog.go
+++ b/internal/decide/catalog/catalog.go
@@ -265,6 +265,25 @@
 // Pools returns all pools by ID. Callers must not change the map.
 func (s *Snapshot) Pools() map[core.PoolID]*Pool { return s.pools }
 
+// NamedPools returns the pools that have an entry or that a route or a stage names.
+func (s *Snapshot) NamedPools() map[core.PoolID]bool {
+	named := map[core.PoolID]bool{}
+	for id := range s.pools {
+		named[id] = true
+	}
+	for _, routes := range s.routes {
+		for _, r := range routes {
+			for _, share := range r.Split {
+				named[share.Pool] = true
+			}
+			for _, stage := range r.Stages {
+				named[stage.Pool] = true
+			}
+		}
+	}
+	return named
+}
+
 // Account returns the account of an API key, and whether the key is accepted. If the
 // catalog has no keys, it accepts any key and returns no account. An empty key, which is that
 // of requests without one, belongs to nobody.
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -219,6 +219,7 @@
 	if c.Tight() {
 		d.log.Info().Int64("config", c.Version).Msg("config_tight")
 	}
+	d.endpoints.SetNamedPools(c.NamedPools())
 	d.assignStageEndpoints()
 }
 
