edge: bound the removal of entries of ended daemons

What operators would see: the store never answers one write, for example across a partition that loses the connection, and rows of daemons that have ended stay for as long as the first live daemon runs.

Cause: removeStaleDaemons wrote without a timeout. Each attempt now ends after the 2 s of other writes, and the row is tried again at the next look.

Before: with the timeout taken out, TestAWriteWithoutAnAnswerHoldsUpNoRemoval fails. After: it passes.

--- a/internal/edge/registration_test.go
+++ b/internal/edge/registration_test.go
@@ -1,12 +1,18 @@
 package edge
 
 import (
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
 	"testing"
 	"time"
 
 	"eelgrassgrade/internal/app/fleet"
 	"eelgrassgrade/internal/app/mirror"
 	"eelgrassgrade/internal/core"
+	"eelgrassgrade/platform"
 )
 
 // Guards against an entry of this daemon that stays lost, after a restoration of the store
@@ -63,3 +69,33 @@
 		}
 	}
 }
+
+// Guards against a store that never answers one write and so keeps entries of daemons that
+// have ended, which take a part of the retry budgets, for good.
+func TestAWriteWithoutAnAnswerHoldsUpNoRemoval(t *testing.T) {
+	removed, ended := make(chan string, 8), make(chan struct{})
+	store := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		body, err := io.ReadAll(r.Body)
+		if err != nil {
+			return
+		}
+		if strings.Contains(string(body), "silent") {
+			<-ended
+			return
+		}
+		removed <- string(body)
+		fmt.Fprint(w, "{}")
+	}))
+	defer store.Close()
+	defer close(ended)
+	d := &Daemon{store: platform.NewStore(strings.TrimPrefix(store.URL, "http://"))}
+	go d.removeDaemonEntries(t.Context(), []string{"silent", "d7"})
+	select {
+	case body := <-removed:
+		if !strings.Contains(body, `"d7"`) {
+			t.Errorf("removed %s", body)
+		}
+	case <-time.After(3 * registrationTimeout):
+		t.Error("the other entry is kept")
+	}
+}
--- a/internal/edge/shared.go
+++ b/internal/edge/shared.go
@@ -161,14 +161,23 @@
 				clear(missingSince)
 				continue
 			}
-			for _, id := range staleDaemons(now, missingSince, d.daemonTable.Snapshot(), alive) {
-				if err := d.store.Remove(ctx, daemonTableName, id); err != nil {
-					d.log.Warn().Str("peer", id).Err(err).Msg("daemon_entry_kept")
-					continue
-				}
-				d.log.Info().Str("peer", id).Msg("daemon_entry_removed")
-			}
+			d.removeDaemonEntries(ctx, staleDaemons(now, missingSince, d.daemonTable.Snapshot(), alive))
+		}
+	}
+}
+
+// removeDaemonEntries removes entries of daemons from the store. Each attempt ends with the
+// timeout of a write, since a store that is out of reach may never answer.
+func (d *Daemon) removeDaemonEntries(ctx context.Context, ids []string) {
+	for _, id := range ids {
+		call, cancel := context.WithTimeout(ctx, registrationTimeout)
+		err := d.store.Remove(call, daemonTableName, id)
+		cancel()
+		if err != nil {
+			d.log.Warn().Str("peer", id).Err(err).Msg("daemon_entry_kept")
+			continue
 		}
+		d.log.Info().Str("peer", id).Msg("daemon_entry_removed")
 	}
 }
 
