eelgrassd: check a configuration before it is written

-check read the settings alone, and check-platform is another program than the one that will use the configuration. `eelgrassd -hosted -check -configuration FILE` prints the entries that this daemon could not use, with line and column, and fails if there are any: what becomes config_entry_unusable after the version is written.

--- a/cmd/eelgrassd/main.go
+++ b/cmd/eelgrassd/main.go
@@ -3,6 +3,7 @@
 
 import (
 	"context"
+	"errors"
 	"flag"
 	"fmt"
 	"log"
@@ -26,6 +27,7 @@
 	path := flag.String("settings", "", "settings `file`, JSON with comments (default $"+settingsVariable+" or eelgrassd.jsonc)")
 	check := flag.Bool("check", false, "validate the settings and exit")
 	hosted := flag.Bool("hosted", false, "run on the users' platform, with configuration and endpoints from its store")
+	configuration := flag.String("configuration", "", "with -hosted and -check, check this `file` with a configuration of the users' platform too")
 	var options settings.HostedOptions
 	options.Register(flag.CommandLine)
 	flag.Parse()
@@ -39,6 +41,9 @@
 	if *hosted {
 		run = func(path string, check bool) error { return runHosted(path, check, &options) }
 	}
+	if *configuration != "" {
+		run = func(path string, _ bool) error { return checkHosted(path, *configuration, &options) }
+	}
 	if err := run(*path, *check); err != nil {
 		fmt.Fprintln(os.Stderr, "eelgrassd:", err)
 		os.Exit(1)
@@ -83,6 +88,27 @@
 	return nil
 }
 
+// checkHosted returns an error that names what a daemon cannot use of its settings and of a
+// configuration.
+func checkHosted(path, configuration string, options *settings.HostedOptions) error {
+	if _, err := settings.LoadHosted(path, options.Apply); err != nil {
+		return err
+	}
+	src, err := os.ReadFile(configuration)
+	if err != nil {
+		return err
+	}
+	f, err := edge.ReadConfiguration(src)
+	if err != nil {
+		return fmt.Errorf("%s:%w", configuration, err)
+	}
+	var unusable []error
+	for _, u := range f.Unusable {
+		unusable = append(unusable, fmt.Errorf("%s:%d:%d: %s %q: %s", configuration, u.Position.Line, u.Position.Column, u.List, u.Entry, u.Text))
+	}
+	return errors.Join(unusable...)
+}
+
 func serve(path string, logger zerolog.Logger, options *settings.HostedOptions, signals <-chan os.Signal) error {
 	d, err := edge.New(context.Background(), path, logger, options.Apply)
 	if err != nil {
